--- /dev/null
+++ b/src/app/app.cpp
@@ -0,0 +1,82 @@
+#include "app/app.h"
+
+#include <cerrno>
+#include <cstring>
+
+namespace rookproxy {
+namespace {
+
+// Clients hold at most a third of the descriptors; a little more is let in for connections on their way out.
+std::size_t client_share(std::size_t sockets) { return sockets * 2 / 5; }
+std::size_t engine_share(std::size_t sockets) { return sockets * 2 / 5; }
+// Statements and results may take this part of the memory; buffers, tables and the module have the rest.
+std::size_t held_share(std::size_t memory_mb) { return (memory_mb << 20) / 4; }
+
+// After SIGTERM new connections come for 0.4 s and requests on open ones for 0.2 s: with room to spare.
+constexpr Duration kStragglers = std::chrono::milliseconds(1000);
+
+PoolLimits pool_limits(const Config& config) {
+  PoolLimits limits;
+  limits.most_connections = engine_share(config.sockets);
+  limits.per_connection = config.multiplex;
+  limits.dial_timeout = limits.probe_timeout = config.dial_timeout;
+  limits.idle = config.keepalive / 3;
+  const auto notes = config.settings.note_interval;
+  limits.silence = notes ? 3 * span_from_module(*notes) : Duration(0);
+  return limits;
+}
+
+CoreLimits core_limits(const Config& config) {
+  CoreLimits limits;
+  limits.held_bytes = held_share(config.memory_mb);
+  limits.refusal_pause = config.refusal_pause;
+  return limits;
+}
+
+Fd listener_at(const Endpoint& at, const char* key) {
+  Fd fd = listen_tcp(at);
+  if (!fd) throw ConfigError(key, "can't listen on " + at.text() + ": " + std::strerror(errno));
+  return fd;
+}
+
+}  // namespace
+
+App::App(Loop& loop, Log& log, const Config& config)
+    : loop_(loop), log_(log), core_(loop, log, config.settings, config.zones, core_limits(config)) {
+  lines_ = std::make_unique<LinesPool>(loop, log, core_, pool_limits(config));
+  core_.use(*lines_);
+  core_.learn_members(config.known, true);
+  core_.settle();
+  if (config.nameserver) {
+    directory_ = std::make_unique<DnsDirectory>(
+        loop, log, *config.nameserver, config.service, config.directory_poll, config.known_offset,
+        config.seed, [this](const std::vector<Member>& members) { core_.learn_members(members, false); });
+  }
+  if (config.listen) {
+    FramesFront::Limits limits;
+    limits.most_connections = client_share(config.sockets);
+    frames_ = std::make_unique<FramesFront>(loop, log, core_, listener_at(*config.listen, "listen"), limits);
+    log.line(Level::kNotice, "start", "serving frames",
+             {{"port", std::to_string(frames_->port())}, {"engines", std::to_string(config.known.size())}});
+  }
+  loop.each_turn([this] { core_.settle(); });
+}
+
+void App::drain() {
+  if (std::exchange(draining_, true)) return;
+  log_.line(Level::kNotice, "stop", "draining", {{"open", std::to_string(core_.open_requests())}});
+  if (frames_) frames_->drain();
+  stop_from_ = loop_.now() + kStragglers;
+  stop_when_idle();
+}
+
+void App::stop_when_idle() {
+  const bool idle = core_.open_requests() == 0 && (!frames_ || frames_->is_flushed());
+  if (idle && loop_.now() >= stop_from_) {
+    log_.line(Level::kNotice, "stop", "idle, so done", {});
+    return loop_.stop();
+  }
+  loop_.at(loop_.now() + std::chrono::milliseconds(20), [this] { stop_when_idle(); });
+}
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/app/app.h
@@ -0,0 +1,33 @@
+// One dispatcher: the core with its directory, its fronts and its engine links, from start to stop.
+#pragma once
+
+#include <memory>
+
+#include "config/config.h"
+#include "core/dispatcher.h"
+#include "directory/directory.h"
+#include "front/frames.h"
+#include "link/lines.h"
+
+namespace rookproxy {
+
+class App {
+ public:
+  App(Loop& loop, Log& log, const Config& config);
+  // Not ready any more; what still comes is served, and the loop stops once nothing is open.
+  void drain();
+
+ private:
+  void stop_when_idle();
+
+  Loop& loop_;
+  Log& log_;
+  Dispatcher core_;
+  std::unique_ptr<LinesPool> lines_;
+  std::unique_ptr<DnsDirectory> directory_;
+  std::unique_ptr<FramesFront> frames_;
+  Time stop_from_{};
+  bool draining_ = false;
+};
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,242 @@
+#include "config/config.h"
+
+#include <toml++/toml.h>
+#include <charconv>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "config/reader.h"
+#include "wire.h"
+
+namespace rookproxy {
+namespace {
+
+using nlohmann::json;
+
+// The settings as the pairs that the simulator's first message has, so that one reader serves both.
+void flatten(const json& value, const std::string& path, std::vector<std::string>& pairs) {
+  const auto plain = [](const json& item) {
+    std::string text = item.is_string() ? item.get<std::string>() : item.dump();
+    std::replace_if(
+        text.begin(), text.end(), [](char c) { return c == ' ' || c == ',' || c == '\t'; }, '_');
+    return text;
+  };
+  if (value.is_object()) {
+    for (const auto& [key, item] : value.items()) flatten(item, path.empty() ? key : path + "." + key, pairs);
+  } else if (value.is_array() && !value.empty() && value.front().is_object()) {
+    pairs.push_back(path + ".count=" + std::to_string(value.size()));
+    for (std::size_t i = 0; i < value.size(); ++i) flatten(value[i], path + "." + std::to_string(i), pairs);
+  } else if (value.is_array()) {
+    std::string list;
+    for (const auto& item : value) {
+      if (!list.empty()) list += ',';
+      list += plain(item);
+    }
+    pairs.push_back(path + "=" + list);
+  } else if (!value.is_null()) {
+    pairs.push_back(path + "=" + plain(value));
+  }
+}
+
+void read_settings(const json& settings, Config& config) {
+  std::vector<std::string> pairs;
+  flatten(settings, "", pairs);
+  const std::vector<std::string_view> views(pairs.begin(), pairs.end());
+  try {
+    config.settings = lemonshift::wire::parse_settings(config.seed, views);
+  } catch (const std::exception& fault) {
+    throw ConfigError("settings", fault.what());
+  }
+  if (config.settings.classes.empty()) throw ConfigError("settings.grades", "names no class");
+  for (const auto& cls : config.settings.classes) {
+    if (cls.name.empty()) throw ConfigError("settings.grades", "a class without a name");
+    if (cls.deadline <= 0) throw ConfigError("settings.grades", "class " + cls.name + " has no deadline");
+  }
+  const Reader reader(settings, "settings");
+  if (reader.has("localities")) {
+    for (const auto& zone : reader.need("localities")) {
+      if (!zone.is_string()) throw ConfigError("settings.localities", "not a list of texts");
+      config.zones.push_back(zone.get<std::string>());
+    }
+  }
+  if (!reader.has("permissions")) return;
+  const Reader permissions = reader.table("permissions");
+  const auto micros = [&](const char* key, Duration fallback) {
+    return Duration(permissions.whole_or(key, fallback.count(), 1, 3'600'000'000));
+  };
+  config.keepalive = micros("keepalive", config.keepalive);
+  config.dial_timeout = micros("dial_timeout", config.dial_timeout);
+  config.refusal_pause = micros("max_retry_after", config.refusal_pause);
+  config.multiplex = static_cast<std::size_t>(permissions.whole_or("multiplex", 32, 1, 10'000));
+}
+
+lemonshift::EngineState read_state(const std::string& word, const std::string& path) {
+  if (word == "up") return lemonshift::EngineState::kServing;
+  if (word == "draining") return lemonshift::EngineState::kDraining;
+  if (word == "removed") return lemonshift::EngineState::kGone;
+  throw ConfigError(path, "unknown state '" + word + "'");
+}
+
+// The first event carries the whole list, each later one what changed or, if complete, the whole list again.
+void read_known(const Reader& known, Config& config) {
+  config.known_offset = static_cast<std::uint64_t>(known.whole_or("offset", 0, 0, 1'000'000'000'000));
+  std::vector<Member> members;
+  std::size_t event_number = 0;
+  for (const auto& event : known.need("batch")) {
+    const std::string path = "known.batch." + std::to_string(event_number++);
+    const Reader topology = Reader(event, path).table("topology");
+    if (topology.json().value("complete", false)) members.clear();
+    std::size_t number = 0;
+    for (const auto& entry : topology.need("members")) {
+      Member member = read_member(entry, topology.path("members." + std::to_string(number++)));
+      std::erase_if(members, [&](const Member& old) { return old.id == member.id; });
+      if (member.state != lemonshift::EngineState::kGone) members.push_back(std::move(member));
+    }
+  }
+  config.known = std::move(members);
+}
+
+void read_mysql(const Reader& mysql, Config& config) {
+  mysql.only({"listen", "users", "read_class", "load_class", "read_deadline_ms", "load_deadline_ms",
+              "most_connections", "idle_ms"});
+  MysqlFrontConfig front;
+  front.listen = mysql.endpoint("listen");
+  const Reader users = mysql.table("users");
+  for (const auto& [name, password] : users.json().items()) front.users[name] = users.text(name);
+  if (front.users.empty()) throw ConfigError(mysql.path("users"), "names nobody, so nobody could log in");
+  const auto class_of = [&](const char* key) {
+    const std::string name = mysql.text(key);
+    for (const auto& cls : config.settings.classes) {
+      if (cls.name == name) return &cls;
+    }
+    throw ConfigError(mysql.path(key), "no class '" + name + "' in settings.grades");
+  };
+  const auto* read = class_of("read_class");
+  const auto* load = class_of("load_class");
+  // A statement not known to only read must not be sent twice, so its class must be one that forbids it.
+  if (load->effect != lemonshift::Effect::kUnsafe) {
+    throw ConfigError(mysql.path("load_class"),
+                      "class '" + load->name + "' may be repeated; it must be side_effect");
+  }
+  front.read_class = read->name;
+  front.load_class = load->name;
+  front.read_deadline = mysql.milliseconds_or("read_deadline_ms", span_from_module(read->deadline), 50);
+  front.load_deadline = mysql.milliseconds_or("load_deadline_ms", span_from_module(load->deadline), 50);
+  front.most_connections = static_cast<std::size_t>(
+      mysql.whole_or("most_connections", 100, 1, static_cast<std::int64_t>(config.sockets)));
+  front.idle = mysql.milliseconds_or("idle_ms", front.idle, 100);
+  config.mysql = std::move(front);
+}
+
+void read_log(const Reader& log, Config& config) {
+  log.only({"level", "syslog", "facility"});
+  const auto level = level_named(log.text_or("level", "info"));
+  if (!level) throw ConfigError(log.path("level"), "not one of error, warning, notice, info, debug");
+  config.log_level = *level;
+  if (log.has("syslog")) config.syslog = log.endpoint("syslog");
+  config.syslog_facility = static_cast<int>(log.whole_or("facility", 16, 0, 23));
+}
+
+}  // namespace
+
+std::string read_file(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream text;
+  if (!in || !(text << in.rdbuf())) throw ConfigError(path, "can't be read");
+  return text.str();
+}
+
+json read_toml(const std::string& path) {
+  try {
+    std::ostringstream out;
+    out << toml::json_formatter(toml::parse(read_file(path)));
+    return json::parse(out.str());
+  } catch (const toml::parse_error& fault) {
+    throw ConfigError(path + ":" + std::to_string(fault.source().begin.line),
+                      std::string(fault.description()));
+  }
+}
+
+Member read_member(const json& entry, const std::string& path) {
+  const Reader reader(entry, path);
+  Member member;
+  member.id = reader.text("id");
+  if (member.id.empty()) throw ConfigError(reader.path("id"), "empty");
+  member.state = read_state(reader.text_or("phase", "up"), reader.path("phase"));
+  if (member.state != lemonshift::EngineState::kGone || reader.has("host_port")) {
+    member.address = reader.endpoint("host_port");
+  }
+  member.zone = reader.text_or("locality", "");
+  member.kind = reader.text_or("flavor", "");
+  member.cell = static_cast<std::uint32_t>(reader.whole_or("cell", 0, 0, UINT32_MAX));
+  member.weight = reader.has("size") ? reader.number("size", 0, 1e9) : 1;
+  const auto started = reader.whole_or("up_since_ms", 0, 0, 1'000'000'000'000'000);
+  if (started > 0) member.started = Time(std::chrono::milliseconds(started));
+  return member;
+}
+
+Config read_config(const json& document) {
+  const Reader reader(document, "");
+  Config config;
+  config.name = reader.text_or("name", config.name);
+  if (reader.has("listen")) config.listen = reader.endpoint("listen");
+  if (reader.has("seed")) {
+    const std::string seed = reader.text("seed");
+    const auto end = seed.data() + seed.size();
+    const auto [stop, fault] = std::from_chars(seed.data(), end, config.seed, 16);
+    if (fault != std::errc() || stop != end) throw ConfigError("seed", "not hex digits ('" + seed + "')");
+  }
+  if (reader.has("limits")) {
+    const Reader limits = reader.table("limits");
+    config.memory_mb = static_cast<std::size_t>(limits.whole_or("memory_mb", 192, 16, 1'000'000));
+    config.sockets = static_cast<std::size_t>(limits.whole_or("sockets", 1024, 32, 1'000'000));
+  }
+  if (reader.has("nameserver")) config.nameserver = reader.endpoint("nameserver");
+  config.service = reader.text_or("service", config.service);
+  config.directory_poll = reader.milliseconds_or("directory_poll_ms", config.directory_poll, 10);
+  read_settings(reader.need("settings"), config);
+  if (reader.has("known")) read_known(reader.table("known"), config);
+  if (reader.has("engines")) {  // an operator's fixed list
+    std::size_t number = 0;
+    config.known.clear();
+    for (const auto& entry : reader.need("engines")) {
+      config.known.push_back(read_member(entry, "engines." + std::to_string(number++)));
+    }
+  }
+  const std::string link = reader.text_or("link", "lines");
+  if (link != "lines" && link != "mysql")
+    throw ConfigError("link", "neither 'lines' nor 'mysql' ('" + link + "')");
+  config.link = link == "mysql" ? LinkKind::kMysql : LinkKind::kLines;
+  if (config.link == LinkKind::kMysql) {
+    const Reader engines = reader.table("mysql_engines");
+    engines.only({"user", "password", "schema"});
+    config.mysql_link = {engines.text("user"), engines.text_or("password", ""),
+                         engines.text_or("schema", "")};
+  }
+  if (reader.has("mysql")) {
+    if (config.link != LinkKind::kMysql)
+      throw ConfigError("link", "the MySQL front needs engines that speak MySQL");
+    read_mysql(reader.table("mysql"), config);
+  }
+  if (reader.has("log")) read_log(reader.table("log"), config);
+  if (!config.listen && !config.mysql) throw ConfigError("listen", "missing, and there is no other front");
+  if (config.known.empty() && !config.nameserver)
+    throw ConfigError("engines", "no engines and no nameserver");
+  return config;
+}
+
+Config load_config(const std::string& platform, const std::string& operators) {
+  json document = json::object();
+  if (!platform.empty()) {
+    try {
+      document = json::parse(read_file(platform));
+    } catch (const json::exception& fault) {
+      throw ConfigError(platform, fault.what());
+    }
+  }
+  if (!operators.empty()) document.merge_patch(read_toml(operators));
+  return read_config(document);
+}
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,71 @@
+// The one place where configuration is read, checked and given defaults.
+#pragma once
+
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "core/interfaces.h"
+#include "log/log.h"
+
+namespace rookproxy {
+
+struct ConfigError : std::runtime_error {
+  ConfigError(const std::string& key, const std::string& what) : std::runtime_error(key + ": " + what) {}
+};
+
+enum class LinkKind { kLines, kMysql };
+
+struct MysqlFrontConfig {
+  Endpoint listen;
+  std::map<std::string, std::string> users;  // name to password
+  std::string read_class, load_class;        // of statements known to only read; of all others
+  Duration read_deadline{}, load_deadline{};
+  std::size_t most_connections = 100;
+  Duration idle = std::chrono::minutes(5);
+};
+
+struct MysqlLinkConfig {
+  std::string user, password, schema;
+};
+
+struct Config {
+  std::string name = "rookproxy";
+  std::optional<Endpoint> listen;  // the platform's front
+  std::uint64_t seed = 1;
+  std::size_t memory_mb = 192, sockets = 1024;
+  std::optional<Endpoint> nameserver;
+  std::string service = "_app._tcp.cluster.lan";
+  Duration directory_poll = std::chrono::milliseconds(200);
+  std::uint64_t known_offset = 0;
+  std::vector<Member> known;
+  lemonshift::Settings settings;
+  std::vector<std::string> zones;
+  Duration keepalive = std::chrono::seconds(30), dial_timeout = std::chrono::milliseconds(250);
+  std::size_t multiplex = 32;
+  Duration refusal_pause = std::chrono::seconds(1);
+  LinkKind link = LinkKind::kLines;
+  MysqlLinkConfig mysql_link;
+  std::optional<MysqlFrontConfig> mysql;
+  Level log_level = Level::kInfo;
+  std::optional<Endpoint> syslog;
+  int syslog_facility = 16;
+};
+
+// `platform` is the path of the platform's JSON file, `operators` that of an operator's TOML file; either may
+// be empty. Where both name a key, the operator's file wins.
+Config load_config(const std::string& platform, const std::string& operators);
+Config read_config(const nlohmann::json& document);
+
+// A whole file's text, or a ConfigError that names it.
+std::string read_file(const std::string& path);
+// A TOML file as the JSON document of the same shape.
+nlohmann::json read_toml(const std::string& path);
+
+// One member of a list of engines, as the platform words it.
+Member read_member(const nlohmann::json& entry, const std::string& path);
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/config/reader.h
@@ -0,0 +1,72 @@
+// Reading one JSON document by key, with errors that name the key at fault.
+#pragma once
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "config/config.h"
+
+namespace rookproxy {
+
+class Reader {
+ public:
+  Reader(const nlohmann::json& at, std::string path) : at_(at), path_(std::move(path)) {
+    if (!at_.is_object()) throw ConfigError(path_.empty() ? "the document" : path_, "not a table");
+  }
+  bool has(const std::string& key) const { return at_.contains(key) && !at_[key].is_null(); }
+  std::string path(const std::string& key) const { return path_.empty() ? key : path_ + "." + key; }
+  Reader table(const std::string& key) const { return Reader(need(key), path(key)); }
+  const nlohmann::json& need(const std::string& key) const {
+    if (!has(key)) throw ConfigError(path(key), "missing");
+    return at_[key];
+  }
+  std::string text(const std::string& key) const {
+    const auto& value = need(key);
+    if (!value.is_string()) throw ConfigError(path(key), "not a text");
+    return value.get<std::string>();
+  }
+  std::string text_or(const std::string& key, const std::string& fallback) const {
+    return has(key) ? text(key) : fallback;
+  }
+  double number(const std::string& key, double least, double most) const {
+    const auto& value = need(key);
+    if (!value.is_number()) throw ConfigError(path(key), "not a number");
+    const double number = value.get<double>();
+    if (!(number >= least && number <= most)) {
+      throw ConfigError(path(key), "out of range (" + value.dump() + ")");
+    }
+    return number;
+  }
+  std::int64_t whole_or(const std::string& key, std::int64_t fallback, std::int64_t least,
+                        std::int64_t most) const {
+    if (!has(key)) return fallback;
+    const double value = number(key, static_cast<double>(least), static_cast<double>(most));
+    if (value != std::floor(value)) throw ConfigError(path(key), "not a whole number");
+    return static_cast<std::int64_t>(value);
+  }
+  Duration milliseconds_or(const std::string& key, Duration fallback, std::int64_t least) const {
+    if (!has(key)) return fallback;
+    return std::chrono::milliseconds(whole_or(key, 0, least, 86'400'000));
+  }
+  Endpoint endpoint(const std::string& key) const {
+    const auto value = parse_endpoint(text(key));
+    if (!value) throw ConfigError(path(key), "not an address like 127.0.0.1:8443 ('" + text(key) + "')");
+    return *value;
+  }
+  // A misspelt key in an operator's file would else be a setting that silently does not hold.
+  void only(std::initializer_list<std::string_view> known) const {
+    for (const auto& [key, value] : at_.items()) {
+      if (std::find(known.begin(), known.end(), key) == known.end())
+        throw ConfigError(path(key), "unknown key");
+    }
+  }
+  const nlohmann::json& json() const { return at_; }
+
+ private:
+  const nlohmann::json& at_;
+  std::string path_;
+};
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/core/dispatcher.cpp
@@ -0,0 +1,333 @@
+#include "core/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rookproxy {
+namespace {
+
+using lemonshift::EngineState;
+
+// A module that went on acting on what its own actions caused would hold the turn up for ever.
+constexpr int kMostRounds = 16;
+
+bool never_ran(Outcome outcome) {
+  return outcome == Outcome::kTurnedAway || outcome == Outcome::kNoConnection || outcome == Outcome::kNotSent;
+}
+
+std::optional<std::uint32_t> index_of(const std::vector<std::string>& names, const std::string& name) {
+  const auto found = std::find(names.begin(), names.end(), name);
+  if (found == names.end()) return std::nullopt;
+  return static_cast<std::uint32_t>(found - names.begin());
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(Loop& loop, Log& log, const lemonshift::Settings& settings,
+                       std::vector<std::string> zones, CoreLimits limits)
+    : loop_(loop),
+      log_(log),
+      settings_(settings),
+      zones_(std::move(zones)),
+      limits_(limits),
+      router_(settings) {}
+
+std::optional<lemonshift::ClassIndex> Dispatcher::class_named(std::string_view name) const {
+  for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
+    if (settings_.classes[i].name == name) return static_cast<lemonshift::ClassIndex>(i);
+  }
+  return std::nullopt;
+}
+
+void Dispatcher::push(lemonshift::Event event) { events_.push_back(std::move(event)); }
+
+RequestKey Dispatcher::accept(const Arrival& arrival, Asker& asker, std::uint64_t ticket) {
+  Request request;
+  request.arrival = arrival;
+  request.arrival.give_up_at -= limits_.answer_margin;
+  request.asker = &asker;
+  request.ticket = ticket;
+  request.bytes = arrival.query->statement.size() + arrival.query->parameters.value_or("").size();
+  const bool no_room = held_ + request.bytes > limits_.held_bytes || unanswered_ >= limits_.max_open;
+  held_ += request.bytes;
+  ++unanswered_;
+  const RequestKey key = requests_.insert(std::move(request));
+  const Arrival& kept = requests_.find(key)->arrival;
+  if (no_room) {
+    // Nothing was sent, so the refusal is true. The asker gets it after this call, as any other answer.
+    loop_.defer([this, key] {
+      finish(key, {Verdict::kRefused, "", std::chrono::seconds(1), Cause::kOverloaded, ""});
+      release_if_done(key);
+    });
+    return key;
+  }
+  // The last guard: whatever the module does, the client has its answer before it gives up.
+  requests_.find(key)->guard = loop_.at(kept.give_up_at + limits_.answer_margin / 2, [this, key] {
+    log_.line(Level::kWarning, "core", "deadline passed without a decision", {});
+    finish(key, {Verdict::kFailed, "", std::nullopt, Cause::kDeadline, ""});
+    push(lemonshift::RequestDropped{key});
+  });
+  lemonshift::RequestArrived event;
+  event.id = key;
+  event.cls = kept.cls;
+  event.give_up_at = to_module(kept.give_up_at);
+  event.group = kept.group;
+  if (kept.work) event.work = static_cast<double>(to_module(*kept.work));
+  event.memory_mb = kept.memory_mb;
+  event.is_repeat = kept.is_repeat;
+  push(event);
+  return key;
+}
+
+void Dispatcher::asker_gone(RequestKey key) {
+  Request* request = requests_.find(key);
+  if (!request || request->over) return;
+  request->asker = nullptr;
+  finish(key, {});
+  push(lemonshift::RequestDropped{key});
+}
+
+void Dispatcher::learn_members(const std::vector<Member>& members, bool remembered) {
+  lemonshift::EngineList list;
+  list.kind = remembered ? lemonshift::ListKind::kRemembered : lemonshift::ListKind::kWhole;
+  std::vector<bool> named(engines_.size(), false);
+  for (const auto& member : members) {
+    const auto [at, fresh] = engine_ids_.try_emplace(member.id, static_cast<EngineId>(engines_.size()));
+    const EngineId id = at->second;
+    if (fresh) {
+      engines_.emplace_back();
+      named.push_back(false);
+    }
+    Engine& engine = engines_[id];
+    named[id] = true;
+    // Told that it drains or is gone: the grace counts from the first such word, not from the latest.
+    const bool was_closed = !fresh && engine.told.state != EngineState::kServing;
+    if (member.state != EngineState::kServing && !was_closed) close_engine(id);
+    // A new start at the same address is another process: what was open to the former one is dead.
+    const bool moved = fresh || engine.told.address != member.address ||
+                       engine.told.started != member.started || engine.told.state == EngineState::kGone;
+    engine.told = member;
+    if (moved && member.state != EngineState::kGone) links_->engine_at(id, member.address);
+    lemonshift::EngineEntry entry;
+    entry.id = id;
+    entry.name = member.id;
+    entry.started = member.started ? to_module(*member.started) : 0;
+    entry.state = member.state;
+    entry.zone = index_of(zones_, member.zone).value_or(UINT32_MAX - 1);
+    entry.cell = member.cell;
+    entry.weight = member.weight;
+    entry.kind = UINT32_MAX - 1;
+    for (std::uint32_t kind = 0; kind < settings_.kinds.size(); ++kind) {
+      if (settings_.kinds[kind].name == member.kind) entry.kind = kind;
+    }
+    list.entries.push_back(std::move(entry));
+  }
+  for (EngineId id = 0; id < engines_.size(); ++id) {
+    Engine& engine = engines_[id];
+    if (named[id] || engine.told.state == EngineState::kGone) continue;
+    if (engine.told.state == EngineState::kServing) close_engine(id);
+    engine.told.state = EngineState::kGone;
+  }
+  push(std::move(list));
+}
+
+void Dispatcher::close_engine(EngineId id) {
+  const Time since = engines_[id].closed_at = loop_.now();
+  // A request that still waits for its connection then must not leave after the grace.
+  loop_.at(drain_limit(since), [this, id, since] {
+    const Engine& engine = engines_[id];
+    if (engine.told.state != EngineState::kServing && engine.closed_at == since) links_->engine_closed(id);
+  });
+}
+
+Time Dispatcher::drain_limit(Time told) const {
+  return told + span_from_module(settings_.drain_grace) - limits_.drain_margin;
+}
+
+Dispatcher::Attempt* Dispatcher::attempt(AttemptKey key) {
+  Request* request = requests_.find(key.request);
+  if (!request || key.number >= request->attempts.size()) return nullptr;
+  return &request->attempts[key.number];
+}
+
+void Dispatcher::attempt_ended(AttemptKey key, AttemptEnd end) {
+  end_attempt(key.request, key.number, std::move(end));
+}
+
+void Dispatcher::attempt_noted(AttemptKey key, lemonshift::NoteKind kind, double amount) {
+  const Attempt* known = attempt(key);
+  if (!known || !known->out) return;
+  push(lemonshift::AttemptNote{key.request, key.number, known->engine, kind, amount});
+}
+
+void Dispatcher::probe_ended(EngineId engine, Outcome outcome, std::optional<LoadReport> report) {
+  if (engine >= engines_.size() || !engines_[engine].probe_sent) return;
+  const Time sent = *std::exchange(engines_[engine].probe_sent, std::nullopt);
+  push(lemonshift::ProbeEnded{engine, outcome, to_module(loop_.now() - sent), report});
+}
+
+void Dispatcher::end_attempt(RequestKey key, std::uint32_t number, AttemptEnd end) {
+  Request* request = requests_.find(key);
+  Attempt* ended = attempt({key, number});
+  if (!ended || !ended->out) return;  // a second end of one attempt is dropped here
+  loop_.cancel(ended->timer);
+  ended->out = false;
+  ended->may_have_run = !never_ran(end.outcome);
+  --request->out;
+  lemonshift::AttemptEnded event;
+  event.request = key;
+  event.attempt = number;
+  event.engine = ended->engine;
+  event.outcome = end.outcome;
+  event.latency = to_module(loop_.now() - ended->sent);
+  event.report = end.report;
+  if (end.outcome == Outcome::kError) request->last_error = end.body;
+  if (end.outcome == Outcome::kServed && !request->over) {
+    finish(key, {Verdict::kServed, std::move(end.body), std::nullopt, Cause::kNone, ""});
+  }
+  event.over = request->over;
+  push(std::move(event));
+}
+
+void Dispatcher::call_off(RequestKey key, std::uint32_t number, Outcome outcome) {
+  const Attempt* known = attempt({key, number});
+  if (!known || !known->out) return;
+  // No byte of it had left: it provably never ran, whatever ended the wait.
+  const bool unsent = links_->withdraw({key, number});
+  end_attempt(key, number, {unsent ? Outcome::kNoConnection : outcome, std::nullopt, ""});
+}
+
+void Dispatcher::finish(RequestKey key, Answer answer) {
+  Request* request = requests_.find(key);
+  if (!request || request->over) return;
+  request->over = true;
+  loop_.cancel(request->guard);
+  --unanswered_;
+  Asker* asker = std::exchange(request->asker, nullptr);
+  const std::uint64_t ticket = request->ticket;
+  if (answer.verdict == Verdict::kFailed && answer.cause == Cause::kDecision) {
+    if (loop_.now() >= request->arrival.give_up_at) answer.cause = Cause::kDeadline;
+    if (!request->last_error.empty()) {
+      answer.cause = Cause::kEngineError;
+      answer.detail = request->last_error;
+    }
+  }
+  if (asker) asker->on_answer(ticket, std::move(answer));
+}
+
+void Dispatcher::release_if_done(RequestKey key) {
+  Request* request = requests_.find(key);
+  if (!request || !request->over || request->out > 0) return;
+  held_ -= request->bytes;
+  requests_.take(key);
+}
+
+void Dispatcher::settle() {
+  for (int round = 0; !events_.empty() && round < kMostRounds; ++round) {
+    std::vector<lemonshift::Event> events;
+    events.swap(events_);
+    actions_.clear();
+    router_.handle(to_module(loop_.now()), events, actions_);
+    for (const auto& action : actions_) carry_out(action);
+    for (const auto& event : events) {
+      if (const auto* ended = std::get_if<lemonshift::AttemptEnded>(&event)) release_if_done(ended->request);
+      if (const auto* dropped = std::get_if<lemonshift::RequestDropped>(&event))
+        release_if_done(dropped->request);
+    }
+    for (const auto& action : actions_) {
+      if (const auto* refused = std::get_if<lemonshift::Refuse>(&action)) release_if_done(refused->request);
+      if (const auto* failed = std::get_if<lemonshift::Fail>(&action)) release_if_done(failed->request);
+    }
+  }
+  if (!events_.empty()) loop_.at(loop_.now(), [] {});  // what is left is taken up in the next turn
+}
+
+void Dispatcher::carry_out(const lemonshift::Action& action) {
+  if (const auto* order = std::get_if<lemonshift::Send>(&action)) {
+    send(*order);
+  } else if (const auto* terms = std::get_if<lemonshift::SetTerms>(&action)) {
+    Request* request = requests_.find(terms->request);
+    if (!request) return;
+    request->memory_mb = terms->memory_mb;
+    if (request->rank == terms->priority) return;
+    request->rank = terms->priority;
+    for (std::uint32_t i = 0; i < request->attempts.size(); ++i) {
+      if (request->attempts[i].out) links_->set_rank({terms->request, i}, terms->priority);
+    }
+  } else if (const auto* cancel = std::get_if<lemonshift::Cancel>(&action)) {
+    call_off(cancel->request, cancel->attempt, Outcome::kCancelled);
+  } else if (const auto* refuse = std::get_if<lemonshift::Refuse>(&action)) {
+    const Request* request = requests_.find(refuse->request);
+    if (!request) return;
+    // The rule on refusals, whatever the module says: an unsafe request that may have run is never 'refused'.
+    const bool unsafe = settings_.classes[request->arrival.cls].effect == lemonshift::Effect::kUnsafe;
+    const bool ran = std::any_of(request->attempts.begin(), request->attempts.end(),
+                                 [](const Attempt& a) { return a.may_have_run; });
+    if (unsafe && ran) {
+      log_.line(Level::kError, "core", "refusal of a request that may have run turned into a failure", {});
+      return finish(refuse->request, {Verdict::kFailed, "", std::nullopt, Cause::kDecision, ""});
+    }
+    // Where clients are not known to heed advice, the module gives none: they are still told, for those that
+    // do.
+    const auto again = refuse->retry_after ? span_from_module(*refuse->retry_after) : limits_.refusal_pause;
+    finish(refuse->request, {Verdict::kRefused, "", again, Cause::kDecision, ""});
+  } else if (const auto* fail = std::get_if<lemonshift::Fail>(&action)) {
+    finish(fail->request, {Verdict::kFailed, "", std::nullopt, Cause::kDecision, ""});
+  } else if (const auto* wake = std::get_if<lemonshift::Wake>(&action)) {
+    loop_.at(time_from_module(wake->at),
+             [this, token = wake->token] { push(lemonshift::TimerFired{token}); });
+  } else if (const auto* probe = std::get_if<lemonshift::Probe>(&action)) {
+    if (probe->engine >= engines_.size() || engines_[probe->engine].probe_sent) return;
+    engines_[probe->engine].probe_sent = loop_.now();
+    links_->probe(probe->engine);
+  } else if (const auto* text = std::get_if<lemonshift::Log>(&action)) {
+    log_.line(Level::kInfo, "module", text->text, {});
+  }
+  // FollowList asks for what a directory here always does.
+}
+
+// Why this send may not go out; nothing if it may. The module keeps these rules itself; this is the net below
+// it.
+std::optional<std::string> Dispatcher::forbidden(const Request* request,
+                                                 const lemonshift::Send& order) const {
+  if (!request || request->over) return "request is over";
+  if (order.engine >= engines_.size()) return "unknown engine";
+  if (request->attempts.size() >= settings_.max_attempts) return "too many attempts";
+  if (loop_.now() >= request->arrival.give_up_at) return "out of time";
+  const Engine& engine = engines_[order.engine];
+  if (engine.told.state == EngineState::kGone) return "engine is gone";
+  if (engine.told.state == EngineState::kDraining && loop_.now() >= drain_limit(engine.closed_at)) {
+    return "engine drains";
+  }
+  const bool unsafe = settings_.classes[request->arrival.cls].effect == lemonshift::Effect::kUnsafe;
+  for (const Attempt& earlier : request->attempts) {
+    if (unsafe && earlier.may_have_run) return "it may have run";
+    if (earlier.out && !settings_.second_copies) return "an attempt is out";
+  }
+  return std::nullopt;
+}
+
+void Dispatcher::send(const lemonshift::Send& order) {
+  Request* request = requests_.find(order.request);
+  const auto reason = forbidden(request, order);
+  if (reason) {
+    log_.line(Level::kWarning, "core", "send held back: " + *reason, {});
+    if (!request) return;
+  }
+  const auto number = static_cast<std::uint32_t>(request->attempts.size());
+  Attempt fresh;
+  fresh.engine = order.engine;
+  fresh.sent = loop_.now();
+  request->attempts.push_back(fresh);
+  ++request->out;
+  const AttemptKey key{order.request, number};
+  if (reason) return end_attempt(key.request, number, {Outcome::kNotSent, std::nullopt, ""});
+  Time until = request->arrival.give_up_at;
+  if (order.timeout) until = std::min(until, loop_.now() + span_from_module(*order.timeout));
+  request->attempts.back().timer =
+      loop_.at(until, [this, key] { call_off(key.request, key.number, Outcome::kNoAnswer); });
+  links_->send(
+      {key, order.engine, request->arrival.query, until - loop_.now(), request->memory_mb, request->rank});
+}
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/core/dispatcher.h
@@ -0,0 +1,105 @@
+// Requests, attempts and outcomes. Feeds the decision module and carries out what it says; knows no wire and
+// takes no decision of its own, but for mechanical guards that keep the rules whatever the module says.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/interfaces.h"
+#include "log/log.h"
+#include "net/loop.h"
+
+namespace rookproxy {
+
+struct CoreLimits {
+  std::size_t held_bytes =
+      32u << 20;  // of statements and results, over which new requests are refused at once
+  std::size_t max_open = 20'000;
+  // Answers go out this long before the client gives up, to be there in time.
+  Duration answer_margin = std::chrono::milliseconds(8);
+  // Work stops going to an engine this long before the drain's grace ends, so that its first byte is in time.
+  Duration drain_margin = std::chrono::milliseconds(400);
+  // Told with a refusal where the module gives no advice.
+  Duration refusal_pause = std::chrono::seconds(1);
+};
+
+class Dispatcher final : public LinkEvents {
+ public:
+  Dispatcher(Loop& loop, Log& log, const lemonshift::Settings& settings, std::vector<std::string> zones,
+             CoreLimits limits);
+
+  void use(EngineLinks& links) { links_ = &links; }
+  const lemonshift::Settings& settings() const { return settings_; }
+  std::optional<lemonshift::ClassIndex> class_named(std::string_view name) const;
+
+  // ---- from fronts. Each accepted request gets exactly one on_answer, unless its asker takes it back first.
+  RequestKey accept(const Arrival& arrival, Asker& asker, std::uint64_t ticket);
+  void asker_gone(RequestKey key);
+  std::size_t open_requests() const { return unanswered_; }
+
+  // ---- from a directory
+  void learn_members(const std::vector<Member>& members, bool remembered);
+
+  // ---- from links
+  void attempt_ended(AttemptKey key, AttemptEnd end) override;
+  void attempt_noted(AttemptKey key, lemonshift::NoteKind kind, double amount) override;
+  void probe_ended(EngineId engine, Outcome outcome, std::optional<LoadReport> report) override;
+
+  // Hands the module what has come in and carries out its answer; once a turn.
+  void settle();
+
+ private:
+  struct Attempt {
+    EngineId engine = 0;
+    Time sent;
+    bool out = true, may_have_run = true;
+    TimerKey timer{};
+  };
+  struct Request {
+    Arrival arrival;
+    Asker* asker = nullptr;
+    std::uint64_t ticket = 0;
+    bool over = false;
+    int out = 0;
+    int rank = 1;
+    std::optional<double> memory_mb;
+    std::vector<Attempt> attempts;
+    TimerKey guard{};
+    std::size_t bytes = 0;
+    std::string last_error;
+  };
+  struct Engine {
+    Member told;
+    Time closed_at{};  // when we were told that it drains or is gone
+    std::optional<Time> probe_sent;
+  };
+
+  void close_engine(EngineId id);
+  Time drain_limit(Time told) const;
+  void push(lemonshift::Event event);
+  void carry_out(const lemonshift::Action& action);
+  void send(const lemonshift::Send& send);
+  std::optional<std::string> forbidden(const Request* request, const lemonshift::Send& send) const;
+  void end_attempt(RequestKey key, std::uint32_t number, AttemptEnd end);
+  void call_off(RequestKey key, std::uint32_t number, Outcome outcome);
+  void finish(RequestKey key, Answer answer);
+  void release_if_done(RequestKey key);
+  Attempt* attempt(AttemptKey key);
+
+  Loop& loop_;
+  Log& log_;
+  lemonshift::Settings settings_;
+  std::vector<std::string> zones_;
+  CoreLimits limits_;
+  lemonshift::Router router_;
+  EngineLinks* links_ = nullptr;
+  SlotTable<Request> requests_;
+  std::size_t unanswered_ = 0, held_ = 0;
+  std::unordered_map<std::string, EngineId> engine_ids_;
+  std::vector<Engine> engines_;
+  std::vector<lemonshift::Event> events_;
+  std::vector<lemonshift::Action> actions_;
+};
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/core/interfaces.h
@@ -0,0 +1,126 @@
+// What the core says to the fronts, the engine links and the directory, and hears from them. No wire shows
+// here.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/time.h"
+#include "lemonshift/router.h"
+#include "net/fd.h"
+#include "net/slots.h"
+
+namespace rookproxy {
+
+using lemonshift::EngineId;
+using lemonshift::LoadReport;
+using lemonshift::Outcome;
+using RequestKey = SlotKey;  // sorts by arrival, never reused
+
+// What is asked of an engine. Links read it, the core only carries it.
+struct Query {
+  std::string id;          // the client's id for the request, passed on unchanged
+  std::string class_name;  // likewise
+  std::string statement;   // the bytes that came
+  // A prepared statement's execution, as the front's protocol has it; absent: run the statement as text.
+  std::optional<std::string> parameters;
+  std::string schema;        // the connection's default schema; empty: none
+  bool rows_as_text = true;  // the result as tab-separated lines; else as the engine's own packets
+};
+
+struct Arrival {
+  std::shared_ptr<const Query> query;
+  lemonshift::ClassIndex cls = 0;
+  std::uint64_t group = 0;
+  Time give_up_at;
+  std::optional<Duration> work;
+  std::optional<double> memory_mb;
+  bool is_repeat = false;
+};
+
+enum class Verdict { kServed, kRefused, kFailed };
+enum class Cause { kNone, kDecision, kDeadline, kEngineError, kOverloaded, kStopping };
+
+struct Answer {
+  Verdict verdict = Verdict::kFailed;
+  std::string body;               // served: the whole result, as the link read it
+  std::optional<Duration> again;  // refused: when to come back
+  Cause cause = Cause::kNone;     // for messages and logs
+  std::string detail;             // failed by an engine's error: its own words, if it had any
+};
+
+// Where a request came from. `ticket` is the front's own.
+class Asker {
+ public:
+  virtual void on_answer(std::uint64_t ticket, Answer answer) = 0;
+
+ protected:
+  ~Asker() = default;
+};
+
+struct AttemptKey {
+  RequestKey request = 0;
+  std::uint32_t number = 0;
+  auto operator<=>(const AttemptKey&) const = default;
+};
+
+struct Order {
+  AttemptKey key;
+  EngineId engine = 0;
+  std::shared_ptr<const Query> query;
+  Duration budget{};
+  std::optional<double> memory_mb;
+  int rank = 1;
+};
+
+struct AttemptEnd {
+  Outcome outcome = Outcome::kError;
+  std::optional<LoadReport> report;
+  std::string body;  // served: the result; error: the engine's words
+};
+
+// The engine side. It never calls back from inside a call of the core's.
+class EngineLinks {
+ public:
+  virtual void send(const Order& order) = 0;
+  // The core has ended the attempt: it is called off and never reported. True if no byte of it had left.
+  virtual bool withdraw(AttemptKey key) = 0;
+  virtual void set_rank(AttemptKey key, int rank) = 0;
+  virtual void probe(EngineId engine) = 0;
+  // An engine's address, also when it changes or its process is a new one: former connections take nothing
+  // new.
+  virtual void engine_at(EngineId engine, const Endpoint& address) = 0;
+  // Its drain's grace is nearly over, or it is gone: what has not begun to leave for it must not leave.
+  virtual void engine_closed(EngineId engine) = 0;
+
+ protected:
+  ~EngineLinks() = default;
+};
+
+// What links report; the core takes it in at the turn's end.
+class LinkEvents {
+ public:
+  virtual void attempt_ended(AttemptKey key, AttemptEnd end) = 0;
+  virtual void attempt_noted(AttemptKey key, lemonshift::NoteKind kind, double amount) = 0;
+  virtual void probe_ended(EngineId engine, Outcome outcome, std::optional<LoadReport> report) = 0;
+
+ protected:
+  ~LinkEvents() = default;
+};
+
+// One engine as a directory names it. The id stays with the engine; its address may pass to another.
+struct Member {
+  std::string id;
+  Endpoint address;
+  lemonshift::EngineState state = lemonshift::EngineState::kServing;
+  std::string zone, kind;
+  std::uint32_t cell = 0;
+  double weight = 1;
+  std::optional<Time> started;  // absent: long ago
+  bool operator==(const Member&) const = default;
+};
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/directory/dns.cpp
@@ -0,0 +1,230 @@
+#include "directory/dns.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <map>
+
+namespace rookproxy {
+namespace {
+
+constexpr std::uint16_t kA = 1, kSoa = 6, kTxt = 16, kSrv = 33, kInternet = 1;
+constexpr int kMostJumps = 32;
+
+struct Broken {};
+
+class Message {
+ public:
+  explicit Message(std::string_view bytes) : bytes_(bytes) {}
+  std::size_t at() const { return at_; }
+  void go(std::size_t at) { at_ = at; }
+  std::uint8_t u8() {
+    if (at_ >= bytes_.size()) throw Broken();
+    return static_cast<std::uint8_t>(bytes_[at_++]);
+  }
+  std::uint16_t u16() {
+    const std::uint16_t high = u8();
+    return static_cast<std::uint16_t>(high << 8 | u8());
+  }
+  std::uint32_t u32() {
+    const std::uint32_t high = u16();
+    return high << 16 | u16();
+  }
+  std::string_view take(std::size_t size) {
+    if (size > bytes_.size() - at_) throw Broken();
+    const auto out = bytes_.substr(at_, size);
+    at_ += size;
+    return out;
+  }
+  // A name in lower case, labels parted by dots. Pointers lead only backwards and a bounded number of times,
+  // so that a message can't make us run in circles.
+  std::string name() {
+    std::string out;
+    std::size_t back = 0, limit = at_;
+    for (int jumps = 0;;) {
+      const std::uint8_t size = u8();
+      if (size == 0) break;
+      if ((size & 0xc0) == 0xc0) {
+        const std::size_t to = static_cast<std::size_t>(size & 0x3f) << 8 | u8();
+        if (back == 0) back = at_;
+        if (++jumps > kMostJumps || to >= limit) throw Broken();
+        limit = at_ = to;
+        continue;
+      }
+      if ((size & 0xc0) != 0) throw Broken();
+      if (!out.empty()) out += '.';
+      for (const char c : take(size)) out += static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+      if (out.size() > 255) throw Broken();
+    }
+    if (back != 0) at_ = back;
+    return out;
+  }
+
+ private:
+  std::string_view bytes_;
+  std::size_t at_ = 0;
+};
+
+struct Service {
+  std::uint16_t priority, weight, port;
+  std::string target;
+};
+
+struct Host {
+  std::optional<std::uint32_t> ip;
+  std::map<std::string, std::string> texts;
+};
+
+std::string lower(std::string_view text) {
+  std::string out(text);
+  std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return std::tolower(c); });
+  return out;
+}
+
+std::int64_t whole_or(const std::map<std::string, std::string>& texts, const std::string& key) {
+  std::int64_t value = 0;
+  if (const auto found = texts.find(key); found != texts.end()) {
+    const auto& text = found->second;
+    const auto [stop, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (fault != std::errc() || stop != text.data() + text.size() || value < 0) throw Broken();
+  }
+  return value;
+}
+
+Member make_member(const Service& service, const Host& host) {
+  Member member;
+  const auto dot = service.target.find('.');
+  member.id = service.target.substr(0, dot);
+  if (dot != std::string::npos) {
+    const auto end = service.target.find('.', dot + 1);
+    member.zone = service.target.substr(dot + 1, end == std::string::npos ? end : end - dot - 1);
+  }
+  member.address = {*host.ip, service.port};
+  member.state =
+      service.priority == 0 ? lemonshift::EngineState::kServing : lemonshift::EngineState::kDraining;
+  member.weight = service.weight / 10.0;
+  if (const auto kind = host.texts.find("kind"); kind != host.texts.end()) member.kind = kind->second;
+  member.cell = static_cast<std::uint32_t>(whole_or(host.texts, "cell"));
+  const auto started = whole_or(host.texts, "started");
+  if (started > 0) member.started = Time(std::chrono::milliseconds(started));
+  return member;
+}
+
+}  // namespace
+
+std::string_view dns_fault_text(DnsFault fault) {
+  switch (fault) {
+    case DnsFault::kNone:
+      return "whole";
+    case DnsFault::kForged:
+      return "not the answer to our question";
+    case DnsFault::kTruncated:
+      return "truncated";
+    case DnsFault::kRefused:
+      return "the server reports an error";
+    case DnsFault::kMalformed:
+      return "malformed";
+    case DnsFault::kIncomplete:
+      return "records are missing";
+  }
+  return "unknown";
+}
+
+std::string dns_query(std::uint16_t id, std::string_view name) {
+  std::string out;
+  const auto u16 = [&out](unsigned value) {
+    out += static_cast<char>(value >> 8);
+    out += static_cast<char>(value);
+  };
+  u16(id);
+  u16(0x0100);  // a standard query, recursion desired
+  u16(1);
+  u16(0);
+  u16(0);
+  u16(0);
+  while (!name.empty()) {
+    const auto label = name.substr(0, name.find('.'));
+    out += static_cast<char>(label.size());
+    out += label;
+    name.remove_prefix(std::min(label.size() + 1, name.size()));
+  }
+  out += '\0';
+  u16(kSrv);
+  u16(kInternet);
+  return out;
+}
+
+DnsList parse_dns(std::string_view bytes, std::uint16_t id, std::string_view name) {
+  DnsList list;
+  const auto fault = [&list](DnsFault why) {
+    list.fault = why;
+    list.members.clear();
+    return list;
+  };
+  try {
+    Message message(bytes);
+    const std::uint16_t got_id = message.u16(), flags = message.u16();
+    const std::uint16_t questions = message.u16(), answers = message.u16(), authorities = message.u16(),
+                        additional = message.u16();
+    if (got_id != id || (flags & 0x8000) == 0 || (flags & 0x7800) != 0) return fault(DnsFault::kForged);
+    if (questions != 1 || message.name() != lower(name) || message.u16() != kSrv ||
+        message.u16() != kInternet) {
+      return fault(DnsFault::kForged);
+    }
+    if ((flags & 0x0200) != 0) return fault(DnsFault::kTruncated);
+    if ((flags & 0x000f) != 0) return fault(DnsFault::kRefused);
+    bool serial_known = false;
+    std::vector<Service> services;
+    std::map<std::string, Host> hosts;
+    const int records = answers + authorities + additional;
+    for (int i = 0; i < records; ++i) {
+      const std::string owner = message.name();
+      const std::uint16_t type = message.u16(), space = message.u16();
+      message.u32();  // time to live: the list is asked for anew anyway
+      const std::size_t size = message.u16(), start = message.at();
+      message.take(size);
+      const std::size_t end = message.at();
+      if (space != kInternet) continue;  // an OPT record, for one, keeps other things there
+      message.go(start);
+      if (type == kSrv && i < answers && owner == lower(name)) {
+        Service service{};
+        service.priority = message.u16();
+        service.weight = message.u16();
+        service.port = message.u16();
+        service.target = message.name();
+        services.push_back(std::move(service));
+      } else if (type == kSoa && i >= answers && i < answers + authorities) {
+        message.name();
+        message.name();
+        list.serial = message.u32();
+        serial_known = true;
+        message.go(end);  // refresh, retry, expire, minimum: secondaries' matters
+      } else if (type == kA && size == 4) {
+        hosts[owner].ip = message.u32();
+      } else if (type == kTxt) {
+        while (message.at() < end) {
+          const std::string_view text = message.take(message.u8());
+          const auto equals = text.find('=');
+          if (equals != text.npos) {
+            hosts[owner].texts[std::string(text.substr(0, equals))] = std::string(text.substr(equals + 1));
+          }
+        }
+      } else {
+        message.go(end);
+      }
+      if (message.at() != end) return fault(DnsFault::kMalformed);
+    }
+    if (!serial_known) return fault(DnsFault::kIncomplete);
+    for (const auto& service : services) {
+      const Host& host = hosts[service.target];
+      // A list that lacks an address is not the whole list: believing it would remove a running engine.
+      if (!host.ip || service.target.empty()) return fault(DnsFault::kIncomplete);
+      list.members.push_back(make_member(service, host));
+    }
+    return list;
+  } catch (const Broken&) {
+    return fault(DnsFault::kMalformed);
+  }
+}
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/front/frames.h
@@ -0,0 +1,84 @@
+// The platform's front: binary frames over TCP (PROTOCOL, "Clients to dispatchers").
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/dispatcher.h"
+#include "net/stream.h"
+
+namespace rookproxy {
+
+namespace frames {
+
+enum Type : std::uint8_t {
+  kRequest = 2,
+  kAnswer = 4,
+  kAbandon = 8,
+  kIsReady = 16,
+  kReady = 32,
+  kGoAway = 64
+};
+enum Code : std::uint8_t { kServed = 0, kRefused = 1, kFailed = 2 };
+constexpr std::size_t kHeader = 9, kLeastLength = 5, kMostLength = 262'144;
+// A frame longer than allowed is still skipped, so that its stream can be told, up to this length.
+constexpr std::size_t kMostSkipped = 16u << 20;
+
+struct Frame {
+  std::uint8_t type = 0;
+  std::uint32_t stream = 0;
+  std::string_view payload;
+};
+enum class Parse { kMore, kOne, kOversized, kBroken };
+// Takes one frame off the front of `bytes`. Oversized: `used` is its whole length, type and stream are known.
+Parse parse_frame(std::string_view bytes, Frame& frame, std::size_t& used);
+
+using Fields = std::map<std::string, std::string, std::less<>>;
+// Reads the fields and leaves the body in `payload`; false if they can't be read or one comes twice.
+bool parse_fields(std::string_view& payload, Fields& fields);
+
+std::string make_frame(std::uint8_t type, std::uint32_t stream, std::string_view payload);
+std::string make_answer(std::uint32_t stream, Code code, const Fields& fields, std::string_view body);
+
+}  // namespace frames
+
+class FramesFront final : public Asker {
+ public:
+  struct Limits {
+    std::size_t most_connections = 400, most_open = 32;
+    std::size_t most_queued = 1u << 20;  // bytes not taken by a client, over which we stop reading from it
+    Duration idle = std::chrono::seconds(60);
+  };
+  FramesFront(Loop& loop, Log& log, Dispatcher& core, Fd listener, Limits limits);
+  ~FramesFront();
+
+  void on_answer(std::uint64_t ticket, Answer answer) override;
+  // No longer ready: every connection is told; what still comes is served.
+  void drain();
+  bool is_flushed();
+  std::uint16_t port() const { return acceptor_.port(); }
+
+ private:
+  class Connection;
+  struct Ticket {
+    SlotKey connection;
+    std::uint32_t stream;
+    RequestKey request;
+  };
+  void accept(Fd fd);
+  void drop(SlotKey key);
+  Connection* find(SlotKey key);
+
+  Loop& loop_;
+  Log& log_;
+  Dispatcher& core_;
+  Limits limits_;
+  SlotTable<std::unique_ptr<Connection>> connections_;
+  SlotTable<Ticket> tickets_;
+  bool draining_ = false;
+  Acceptor acceptor_;
+};
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/link/lines.cpp
@@ -0,0 +1,255 @@
+#include "link/lines.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace rookproxy {
+namespace {
+
+using lemonshift::NoteKind;
+
+constexpr std::size_t kLongestLine = 4096, kLongestBody = 64 * 1024;
+constexpr std::size_t kMostPages = 64;
+
+std::optional<std::size_t> whole(std::string_view text) {
+  std::size_t value = 0;
+  const auto end = text.data() + text.size();
+  const auto [stop, fault] = std::from_chars(text.data(), end, value);
+  if (fault != std::errc() || stop != end) return std::nullopt;
+  return value;
+}
+
+std::optional<double> number(std::string_view text) {
+  double value = 0;
+  const auto end = text.data() + text.size();
+  const auto [stop, fault] = std::from_chars(text.data(), end, value);
+  if (fault != std::errc() || stop != end || !std::isfinite(value)) return std::nullopt;
+  return value;
+}
+
+template <class Visit>
+void each_part(std::string_view text, char at, Visit visit) {
+  while (!text.empty()) {
+    const auto cut = std::min(text.find(at), text.size());
+    visit(text.substr(0, cut));
+    text.remove_prefix(std::min(cut + 1, text.size()));
+  }
+}
+
+}  // namespace
+
+LineParse parse_line_answer(std::string_view bytes, LineAnswer& answer, std::size_t& used) {
+  const auto line_end = bytes.find("\r\n");
+  if (line_end == bytes.npos) return bytes.size() > kLongestLine ? LineParse::kBroken : LineParse::kMore;
+  if (line_end > kLongestLine) return LineParse::kBroken;
+  std::string_view words[4];
+  std::size_t count = 0;
+  std::string_view rest = bytes.substr(0, line_end);
+  for (;;) {
+    const auto space = rest.find(' ');
+    if (count == 4) return LineParse::kBroken;
+    words[count++] = rest.substr(0, space);
+    if (words[count - 1].empty()) return LineParse::kBroken;
+    if (space == rest.npos) break;
+    rest.remove_prefix(space + 1);
+  }
+  if (count != 4) return LineParse::kBroken;
+  const auto length = whole(words[3]);
+  if (!length || *length > kLongestBody) return LineParse::kBroken;
+  const std::size_t body = line_end + 2;
+  if (bytes.size() < body + *length + 2) return LineParse::kMore;
+  if (bytes.substr(body + *length, 2) != "\r\n") return LineParse::kBroken;
+  answer = {words[0], words[1], words[2], bytes.substr(body, *length)};
+  used = body + *length + 2;
+  return LineParse::kOne;
+}
+
+std::optional<std::string_view> line_field(std::string_view fields, std::string_view name) {
+  std::optional<std::string_view> found;
+  each_part(fields, ',', [&](std::string_view part) {
+    const auto equals = part.find('=');
+    if (equals != part.npos && part.substr(0, equals) == name && !found) found = part.substr(equals + 1);
+  });
+  return found;
+}
+
+std::optional<LoadReport> parse_use(std::string_view use) {
+  LoadReport report;
+  bool any = false;
+  each_part(use, ';', [&](std::string_view part) {
+    const auto colon = part.find(':');
+    if (colon == part.npos) return;
+    const auto name = part.substr(0, colon);
+    const auto value = number(part.substr(colon + 1));
+    if (!value) return;
+    any = true;
+    // The settings and the sockets may word a value differently; both words are known.
+    if (name == "inflight" || name == "outstanding") report.held = value;
+    if (name == "queue" || name == "backlog") report.waiting = value;
+    if (name == "util" || name == "utilization") report.cpu_busy = value;
+    if (name == "x0") report.memory_granted = value;
+    if (name == "x1") report.disks_busy = value;
+  });
+  if (!any) return std::nullopt;
+  return report;
+}
+
+std::map<std::string, LinesConnection::Open>::iterator LinesConnection::find(AttemptKey attempt) {
+  return std::find_if(open_by_id_.begin(), open_by_id_.end(),
+                      [&](const auto& one) { return one.second.attempt == attempt; });
+}
+
+void LinesConnection::start(const Order& order) {
+  const auto budget =
+      std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(order.budget).count());
+  std::string fields = "queue=" + order.query->class_name + ",budget=" + std::to_string(budget);
+  if (order.memory_mb) {
+    fields += ",grant=" + std::to_string(std::max<long long>(0, std::llround(*order.memory_mb)));
+  }
+  fields += ",rank=" + std::to_string(std::clamp(order.rank, 0, 3));
+  std::string bytes =
+      "REQ " + order.query->id + " " + fields + " " + std::to_string(order.query->statement.size()) + "\r\n";
+  bytes += order.query->statement;
+  bytes += "\r\n";
+  Open open;
+  open.attempt = order.key;
+  open.ticket = stream_->write(std::move(bytes));
+  open_by_id_[order.query->id] = std::move(open);
+}
+
+bool LinesConnection::withdraw(AttemptKey attempt) {
+  const auto found = find(attempt);
+  if (found == open_by_id_.end()) return false;
+  const bool unsent = stream_->take_back(found->second.ticket);
+  if (!unsent) {
+    // Its work is done once the first page is in; then only the pages are still held for us there.
+    stream_->write((found->second.pages.empty() ? "STOP " : "END ") + found->first + "\r\n");
+  }
+  open_by_id_.erase(found);
+  attempt_over();
+  return unsent;
+}
+
+void LinesConnection::set_rank(AttemptKey attempt, int rank) {
+  const auto found = find(attempt);
+  if (found == open_by_id_.end()) return;
+  stream_->write("NICE " + found->first + " " + std::to_string(std::clamp(rank, 0, 3)) + "\r\n");
+}
+
+void LinesConnection::probe() {
+  static std::uint64_t next = 0;
+  probe_tag_ = "probe-" + std::to_string(++next);
+  stream_->write("STAT " + probe_tag_ + "\r\n");
+}
+
+void LinesConnection::drop_unsent() {
+  for (auto at = open_by_id_.begin(); at != open_by_id_.end();) {
+    const auto [id, open] = *at++;
+    if (stream_->take_back(open.ticket)) end(id, Outcome::kNoConnection);
+  }
+}
+
+void LinesConnection::lost(std::string_view why) {
+  auto all = std::move(open_by_id_);
+  open_by_id_.clear();
+  open_ = 0;
+  for (auto& [id, open] : all) {
+    // A byte that was handed to the kernel may have arrived, whatever became of the connection.
+    const bool begun = stream_->has_begun(open.ticket);
+    report(open.attempt,
+           {begun ? Outcome::kConnectionLost : Outcome::kNoConnection, std::nullopt, std::string(why)});
+  }
+}
+
+void LinesConnection::end(const std::string& id, Outcome outcome, std::string body) {
+  const auto found = open_by_id_.find(id);
+  if (found == open_by_id_.end()) return;
+  Open open = std::move(found->second);
+  open_by_id_.erase(found);
+  report(open.attempt, {outcome, open.report, std::move(body)});
+  attempt_over();
+}
+
+std::size_t LinesConnection::on_bytes(std::string_view bytes) {
+  LineAnswer answer;
+  std::size_t used = 0;
+  switch (parse_line_answer(bytes, answer, used)) {
+    case LineParse::kMore:
+      return 0;
+    case LineParse::kBroken:
+      break_off("an answer that can't be read");
+      return bytes.size();
+    case LineParse::kOne:
+      heard();
+      take(answer);
+  }
+  return used;
+}
+
+void LinesConnection::take(const LineAnswer& answer) {
+  const auto use = line_field(answer.fields, "use");
+  if (answer.word == "well" || answer.word == "ill") {
+    if (answer.id != probe_tag_) return;
+    probe_answered(answer.word == "well" ? Outcome::kServed : Outcome::kError,
+                   use ? parse_use(*use) : std::nullopt);
+    return;
+  }
+  const std::string id(answer.id);
+  const auto found = open_by_id_.find(id);
+  if (found == open_by_id_.end()) return;  // given up; its answer crossed our STOP
+  Open& open = found->second;
+  if (use) open.report = parse_use(*use);
+  if (answer.word == "data") {
+    if (!open.pages.empty()) return end(id, Outcome::kError, "two results for one query");
+    const auto parts = line_field(answer.fields, "parts");
+    const auto count = parts ? whole(*parts) : 1;
+    if (!count || *count == 0 || *count > kMostPages)
+      return end(id, Outcome::kError, "unreadable page count");
+    open.pages.resize(*count);
+    open.missing = *count;
+    std::string fetches;
+    for (std::size_t page = 1; page < *count; ++page)
+      fetches += "FETCH " + id + " " + std::to_string(page) + "\r\n";
+    if (!fetches.empty()) stream_->write(std::move(fetches));
+    take_page(id, open, 0, answer.body);
+  } else if (answer.word == "page") {
+    const auto part = line_field(answer.fields, "part_no");
+    const auto page = part ? whole(*part) : std::nullopt;
+    if (!page || *page >= open.pages.size()) return end(id, Outcome::kError, "a page that was not asked for");
+    take_page(id, open, *page, answer.body);
+  } else if (answer.word == "news") {
+    const auto detail = line_field(answer.fields, "detail");
+    const auto value = line_field(answer.fields, "value");
+    const double amount = value ? number(*value).value_or(0) : 0;
+    if (!detail) return;
+    if (*detail == "frac") note(open.attempt, NoteKind::kProgress, amount);
+    if (*detail == "missing") note(open.attempt, NoteKind::kSpills, amount);
+    if (*detail == "parked") {
+      const auto kind = amount == 2.0 ? NoteKind::kWaitsForLoad : NoteKind::kWaitsForMemory;
+      note(open.attempt, kind, amount);
+    }
+  } else if (answer.word == "full") {
+    end(id, Outcome::kTurnedAway);
+  } else if (answer.word == "moot") {
+    end(id, Outcome::kNotSent);
+  } else if (answer.word == "failed") {
+    end(id, Outcome::kError, std::string(answer.body.empty() ? "the engine failed" : answer.body));
+  } else {
+    end(id, Outcome::kError, "an answer of an unknown kind");
+  }
+}
+
+// The attempt ends when its last page is in. Pages may come in any order; one that comes twice counts once.
+void LinesConnection::take_page(const std::string& id, Open& open, std::size_t number,
+                                std::string_view body) {
+  if (open.pages[number]) return;
+  open.pages[number] = std::string(body);
+  if (--open.missing > 0) return;
+  std::string whole_body;
+  for (const auto& page : open.pages) whole_body += *page;
+  if (open.pages.size() > 1) stream_->write("END " + id + "\r\n");
+  end(id, Outcome::kServed, std::move(whole_body));
+}
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/log/log.h
@@ -0,0 +1,54 @@
+// Log lines: RFC 5424 with structured data, to standard error and, by an operator's file, to a syslog
+// address.
+#pragma once
+
+#include <initializer_list>
+#include <iosfwd>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/time.h"
+#include "net/fd.h"
+
+namespace rookproxy {
+
+// RFC 5424's severities, as far as they are used here.
+enum class Level { kError = 3, kWarning = 4, kNotice = 5, kInfo = 6, kDebug = 7 };
+
+std::optional<Level> level_named(std::string_view name);
+
+struct LogField {
+  std::string_view name;
+  std::string value;
+};
+
+// The whole line without its end, for anyone's stream or datagram.
+std::string format_rfc5424(Level level, int facility, Time at, std::string_view host, std::string_view app,
+                           std::string_view process, std::string_view message_id,
+                           std::initializer_list<LogField> fields, std::string_view text);
+
+class Log {
+ public:
+  Log(std::ostream& out, Level least, std::string host, std::string app);
+  void to_syslog(const Endpoint& address, int facility);
+  void set_least(Level least) { least_ = least; }
+  void set_host(std::string host) { host_ = std::move(host); }
+  bool takes(Level level) const { return level <= least_; }
+  void line(Level level, std::string_view message_id, std::string_view text,
+            std::initializer_list<LogField> fields);
+
+ private:
+  std::ostream& out_;
+  Level least_;
+  std::string host_, app_, process_;
+  int facility_ = 16;  // local0
+  Fd syslog_;
+  // A burst must not cost what the requests need: this many lines a second, then one that counts the rest.
+  static constexpr int kMostPerSecond = 200;
+  Time second_{};
+  int in_second_ = 0, left_out_ = 0;
+};
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,91 @@
+#include "net/loop.h"
+
+#include <sys/epoll.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <system_error>
+
+namespace rookproxy {
+
+Loop::Loop() : epoll_(::epoll_create1(EPOLL_CLOEXEC)), now_(wall_now()) {
+  if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+}
+
+SlotKey Loop::watch(int fd, Watcher& watcher) {
+  const SlotKey key = watchers_.insert(&watcher);
+  epoll_event event{};
+  event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  event.data.u64 = key;
+  if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) == 0) return key;
+  watchers_.take(key);
+  return 0;
+}
+
+void Loop::unwatch(SlotKey key, int fd) {
+  if (!watchers_.take(key)) return;
+  ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
+}
+
+void Loop::again(SlotKey key, std::uint32_t events) { again_.emplace_back(key, events); }
+
+TimerKey Loop::at(Time when, Task task) {
+  const TimerKey key{when, next_timer_++};
+  timers_.emplace(key, std::move(task));
+  return key;
+}
+
+void Loop::cancel(TimerKey& key) {
+  if (key.second != 0) timers_.erase(key);
+  key = {};
+}
+
+void Loop::run() {
+  while (!stopped_) turn();
+}
+
+void Loop::run_timers() {
+  // Only those due at the turn's time: a timer that sets itself again must not hold the turn up.
+  while (!timers_.empty() && timers_.begin()->first.first <= now_) {
+    auto node = timers_.extract(timers_.begin());
+    node.mapped()();
+  }
+}
+
+void Loop::run_deferred() {
+  while (!deferred_.empty()) {
+    std::vector<Task> tasks;
+    tasks.swap(deferred_);
+    for (auto& task : tasks) task();
+  }
+}
+
+void Loop::turn() {
+  int wait_ms = -1;
+  if (!again_.empty()) {
+    wait_ms = 0;
+  } else if (!timers_.empty()) {
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first.first - wall_now());
+    wait_ms = static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, 60'000));
+  }
+  epoll_event events[128];
+  const int count = ::epoll_wait(epoll_.get(), events, std::size(events), wait_ms);
+  if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
+  now_ = wall_now();
+  std::vector<std::pair<SlotKey, std::uint32_t>> ready;
+  ready.swap(again_);
+  for (int i = 0; i < count; ++i) {
+    const epoll_event event = events[i];  // the kernel packs it: no references into it
+    ready.emplace_back(SlotKey(event.data.u64), std::uint32_t(event.events));
+  }
+  for (const auto& [key, what] : ready) {
+    // Found anew for each event: one before it in this turn may have closed this one and reused its slot.
+    if (Watcher** watcher = watchers_.find(key)) (*watcher)->on_ready(what);
+  }
+  run_timers();
+  run_deferred();
+  if (each_turn_) each_turn_();
+  run_deferred();
+}
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,64 @@
+// The event loop: edge-triggered epoll, all deadlines in one ordered structure, work put off to a turn's end.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "core/time.h"
+#include "net/fd.h"
+#include "net/slots.h"
+
+namespace rookproxy {
+
+class Watcher {
+ public:
+  virtual void on_ready(std::uint32_t events) = 0;
+
+ protected:
+  ~Watcher() = default;
+};
+
+// A deadline's place in the ordered structure; a default one is not set.
+using TimerKey = std::pair<Time, std::uint64_t>;
+
+class Loop {
+ public:
+  using Task = std::function<void()>;
+
+  Loop();
+  // Watches for reading, writing and hang-ups, edge-triggered. 0 if the kernel would not take it.
+  SlotKey watch(int fd, Watcher& watcher);
+  void unwatch(SlotKey key, int fd);
+  // The watcher used up its fair share of this turn: it is called again in the next one.
+  void again(SlotKey key, std::uint32_t events);
+
+  TimerKey at(Time when, Task task);
+  void cancel(TimerKey& key);
+  // Runs once this turn's events are through. Objects that are in the middle of a call are destroyed here.
+  void defer(Task task) { deferred_.push_back(std::move(task)); }
+  // Called at the end of every turn, after the deferred work.
+  void each_turn(Task task) { each_turn_ = std::move(task); }
+
+  Time now() const { return now_; }
+  void run();
+  void stop() { stopped_ = true; }
+
+ private:
+  void turn();
+  void run_timers();
+  void run_deferred();
+
+  Fd epoll_;
+  SlotTable<Watcher*> watchers_;
+  std::vector<std::pair<SlotKey, std::uint32_t>> again_;
+  std::map<TimerKey, Task> timers_;
+  std::uint64_t next_timer_ = 1;
+  std::vector<Task> deferred_;
+  Task each_turn_;
+  Time now_;
+  bool stopped_ = false;
+};
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/net/signals.cpp
@@ -0,0 +1,33 @@
+#include "net/signals.h"
+
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <system_error>
+
+namespace rookproxy {
+
+Signals::Signals(Loop& loop, std::initializer_list<int> signals, std::function<void(int)> taken)
+    : loop_(loop), taken_(std::move(taken)) {
+  std::signal(SIGPIPE, SIG_IGN);
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int one : signals) sigaddset(&set, one);
+  ::sigprocmask(SIG_BLOCK, &set, nullptr);
+  fd_ = Fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+  if (fd_) key_ = loop_.watch(fd_.get(), *this);
+  if (key_ == 0) throw std::system_error(errno, std::generic_category(), "signalfd");
+}
+
+Signals::~Signals() { loop_.unwatch(key_, fd_.get()); }
+
+void Signals::on_ready(std::uint32_t) {
+  signalfd_siginfo info;
+  while (::read(fd_.get(), &info, sizeof info) == static_cast<ssize_t>(sizeof info)) {
+    taken_(static_cast<int>(info.ssi_signo));
+  }
+}
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,192 @@
+#include "net/stream.h"
+
+#include <fcntl.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <system_error>
+
+namespace rookproxy {
+
+Stream::Stream(Loop& loop, Fd fd, StreamUser& user, bool connecting, std::size_t input_limit)
+    : loop_(loop), fd_(std::move(fd)), user_(user), connecting_(connecting), input_limit_(input_limit) {
+  key_ = loop_.watch(fd_.get(), *this);
+  if (key_ == 0) fail("could not be watched");
+}
+
+Stream::~Stream() {
+  *alive_ = false;
+  close();
+}
+
+void Stream::close() {
+  if (!fd_) return;
+  loop_.unwatch(key_, fd_.get());
+  fd_.reset();
+}
+
+// The user hears of a fault only at the turn's end: it may be in the middle of a write to this very stream.
+void Stream::fail(std::string why) {
+  if (ended_) return;
+  ended_ = true;
+  loop_.defer([this, alive = alive_, why = std::move(why)] {
+    if (!*alive || !fd_) return;
+    close();
+    user_.on_closed(why);
+  });
+}
+
+void Stream::end_writing() {
+  finishing_ = true;
+  flush();
+}
+
+Stream::Ticket Stream::write(std::string bytes) {
+  const Ticket ticket = next_++;
+  queued_ += bytes.size();
+  output_.push_back({ticket, std::move(bytes)});
+  if (!connecting_ && output_.size() == 1) flush();
+  return ticket;
+}
+
+bool Stream::take_back(Ticket ticket) {
+  if (has_begun(ticket)) return false;
+  const auto found =
+      std::find_if(output_.begin(), output_.end(), [&](const Piece& p) { return p.ticket == ticket; });
+  if (found == output_.end()) return false;
+  queued_ -= found->bytes.size();
+  output_.erase(found);
+  return true;
+}
+
+void Stream::hold_reading(bool hold) {
+  if (held_ == hold) return;
+  held_ = hold;
+  if (!held_ && fd_) loop_.again(key_, EPOLLIN);
+}
+
+void Stream::flush() {
+  while (!output_.empty() && fd_ && !ended_) {
+    iovec parts[32];
+    int count = 0;
+    for (auto& piece : output_) {
+      if (count == static_cast<int>(std::size(parts))) break;
+      const std::size_t skip = count == 0 ? front_sent_ : 0;
+      parts[count++] = {piece.bytes.data() + skip, piece.bytes.size() - skip};
+    }
+    msghdr message{};
+    message.msg_iov = parts;
+    message.msg_iovlen = static_cast<std::size_t>(count);
+    const ssize_t sent = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
+    if (sent < 0) {
+      if (errno == EINTR) continue;
+      if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+      return fail(std::string("write: ") + std::strerror(errno));
+    }
+    queued_ -= static_cast<std::size_t>(sent);
+    front_sent_ += static_cast<std::size_t>(sent);
+    while (!output_.empty() && front_sent_ >= output_.front().bytes.size()) {
+      front_sent_ -= output_.front().bytes.size();
+      first_unbegun_ = output_.front().ticket + 1;
+      output_.pop_front();
+    }
+    if (front_sent_ > 0) first_unbegun_ = output_.front().ticket + 1;
+  }
+  if (finishing_ && output_.empty() && fd_) ::shutdown(fd_.get(), SHUT_WR);
+}
+
+void Stream::deliver() {
+  // The user may close this stream, write to it or be called again through it; it must not be destroyed here.
+  std::size_t used = 0;
+  while (used < input_.size() && fd_ && !held_) {
+    const std::size_t now = user_.on_bytes(std::string_view(input_).substr(used));
+    if (now == 0) break;
+    used += now;
+  }
+  input_.erase(0, used);
+}
+
+void Stream::read_some() {
+  if (!input_.empty() && !held_) deliver();
+  for (std::size_t share = 0; fd_ && !held_ && !ended_;) {
+    if (share >= kReadShare) return loop_.again(key_, EPOLLIN);
+    if (input_.size() >= input_limit_) return fail("a message larger than the buffer");
+    char chunk[16 * 1024];
+    const std::size_t room = std::min(sizeof chunk, input_limit_ - input_.size());
+    const ssize_t got = ::recv(fd_.get(), chunk, room, 0);
+    if (got > 0) {
+      share += static_cast<std::size_t>(got);
+      input_.append(chunk, static_cast<std::size_t>(got));
+      deliver();
+      continue;
+    }
+    if (got == 0) return fail("closed by the peer");
+    if (errno == EINTR) continue;
+    if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+    return fail(std::string("read: ") + std::strerror(errno));
+  }
+}
+
+void Stream::on_ready(std::uint32_t events) {
+  if (connecting_) {
+    if ((events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) == 0) return;
+    int fault = 0;
+    socklen_t size = sizeof fault;
+    ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &fault, &size);
+    if (fault != 0) return fail(std::string("connect: ") + std::strerror(fault));
+    if ((events & EPOLLOUT) == 0) return fail("connect: hung up");
+    connecting_ = false;
+    user_.on_connected();
+  }
+  if (fd_ && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) read_some();
+  if (fd_ && (events & EPOLLOUT) != 0) {
+    flush();
+    if (output_.empty() && !ended_) user_.on_flushed();
+  }
+}
+
+Acceptor::Acceptor(Loop& loop, Fd listener, std::function<void(Fd)> taken)
+    : loop_(loop),
+      listener_(std::move(listener)),
+      reserve_(::open("/dev/null", O_RDONLY | O_CLOEXEC)),
+      taken_(std::move(taken)) {
+  key_ = loop_.watch(listener_.get(), *this);
+  if (key_ == 0) throw std::system_error(errno, std::generic_category(), "watching a listener");
+}
+
+Acceptor::~Acceptor() {
+  loop_.cancel(retry_);
+  loop_.unwatch(key_, listener_.get());
+}
+
+void Acceptor::on_ready(std::uint32_t) {
+  for (int taken = 0;; ++taken) {
+    if (taken == 64) return loop_.again(key_, EPOLLIN);
+    Fd fd = accept_from(listener_);
+    if (fd) {
+      taken_(std::move(fd));
+      continue;
+    }
+    if (errno == EINTR || errno == ECONNABORTED || errno == EPROTO) continue;
+    if ((errno == EMFILE || errno == ENFILE) && reserve_) {
+      reserve_.reset();
+      accept_from(listener_).reset();
+      reserve_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC));
+      continue;
+    }
+    if (errno != EAGAIN && errno != EWOULDBLOCK) {
+      // Out of descriptors with no reserve, or of kernel memory: no edge will come for what waits, so look
+      // again.
+      loop_.cancel(retry_);
+      retry_ = loop_.at(loop_.now() + std::chrono::milliseconds(50), [this] { on_ready(EPOLLIN); });
+    }
+    return;
+  }
+}
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/net/stream.h
@@ -0,0 +1,98 @@
+// A buffered byte stream on a non-blocking socket, and the acceptor that makes them.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "net/loop.h"
+
+namespace rookproxy {
+
+class StreamUser {
+ public:
+  virtual void on_connected() {}
+  // Bytes not yet used up, in order; returns how many are used up now. Must use up something of a full
+  // buffer.
+  virtual std::size_t on_bytes(std::string_view bytes) = 0;
+  // The stream has ended, by the peer or by a fault. Not called after close().
+  virtual void on_closed(std::string_view why) = 0;
+  // What was queued has left.
+  virtual void on_flushed() {}
+
+ protected:
+  ~StreamUser() = default;
+};
+
+class Stream final : private Watcher {
+ public:
+  // Names a piece that was written, so that one of which no byte has left can be taken back.
+  using Ticket = std::uint64_t;
+  static constexpr std::size_t kReadShare =
+      64 * 1024;  // bytes a turn, so that one peer can't starve the others
+
+  Stream(Loop& loop, Fd fd, StreamUser& user, bool connecting, std::size_t input_limit);
+  ~Stream();
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+
+  Ticket write(std::string bytes);
+  // True if no byte of that piece had left: it is gone, and the peer never saw it.
+  bool take_back(Ticket ticket);
+  // Has a byte of it been handed to the kernel? From then on the peer may have seen it.
+  bool has_begun(Ticket ticket) const { return ticket < first_unbegun_; }
+  void close();
+  // Nothing more is written after what is queued; the peer sees the end once that has left.
+  void end_writing();
+  // Stops reading (and so makes the peer wait), or goes on.
+  void hold_reading(bool hold);
+  bool is_open() const { return static_cast<bool>(fd_); }
+  bool is_connected() const { return !connecting_; }
+  std::size_t queued() const { return queued_; }
+
+ private:
+  struct Piece {
+    Ticket ticket;
+    std::string bytes;
+  };
+  void on_ready(std::uint32_t events) override;
+  void read_some();
+  void deliver();
+  void flush();
+  void fail(std::string why);
+
+  Loop& loop_;
+  Fd fd_;
+  StreamUser& user_;
+  SlotKey key_ = 0;
+  bool connecting_;
+  bool held_ = false, ended_ = false, finishing_ = false;
+  std::size_t input_limit_;
+  std::string input_;
+  std::deque<Piece> output_;
+  std::size_t front_sent_ = 0, queued_ = 0;
+  Ticket next_ = 1, first_unbegun_ = 1;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+// Accepts until the kernel has no more, a fair share a turn. When descriptors run out, it takes the
+// connection on a descriptor kept in reserve and closes it, so that the peer is told and the listener does
+// not spin.
+class Acceptor final : private Watcher {
+ public:
+  Acceptor(Loop& loop, Fd listener, std::function<void(Fd)> taken);
+  ~Acceptor();
+  std::uint16_t port() const { return local_port(listener_); }
+
+ private:
+  void on_ready(std::uint32_t events) override;
+  Loop& loop_;
+  Fd listener_, reserve_;
+  SlotKey key_ = 0;
+  TimerKey retry_{};
+  std::function<void(Fd)> taken_;
+};
+
+}  // namespace rookproxy
