Add the MySQL front and link: log-in, statements, prepared statements, refusals, deadlines

Statements not known to only read are loads. Session state that engines can't share is refused with 1235; refused, late and failed requests are errors 3168, 3024 and 1105.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -12,6 +12,8 @@
 // Statements and results may take this part of the memory; buffers, tables and the module have the rest.
 std::size_t held_share(std::size_t memory_mb) { return (memory_mb << 20) / 4; }
 
+constexpr std::size_t kMostResult = 8u << 20;  // bytes of one result from an engine that speaks MySQL
+
 // After SIGTERM new connections come for 0.4 s and requests on open ones for 0.2 s: with room to spare.
 constexpr Duration kStragglers = std::chrono::milliseconds(1000);
 
@@ -43,8 +45,18 @@
 
 App::App(Loop& loop, Log& log, const Config& config)
     : loop_(loop), log_(log), core_(loop, log, config.settings, config.zones, core_limits(config)) {
-  lines_ = std::make_unique<LinesPool>(loop, log, core_, pool_limits(config));
-  core_.use(*lines_);
+  PoolLimits limits = pool_limits(config);
+  if (config.link == LinkKind::kMysql) {
+    limits.per_connection = 1;     // a session runs one statement at a time
+    limits.silence = Duration(0);  // and says nothing until it has an answer
+    const auto& account = config.mysql_link;
+    links_ = std::make_unique<MysqlPool>(loop, log, core_, limits,
+                                         MysqlAccount{account.user, account.password, account.schema},
+                                         kMostResult, held_share(config.memory_mb));
+  } else {
+    links_ = std::make_unique<LinesPool>(loop, log, core_, limits);
+  }
+  core_.use(*links_);
   core_.learn_members(config.known, true);
   core_.settle();
   if (config.nameserver) {
@@ -53,12 +65,17 @@
         config.seed, [this](const std::vector<Member>& members) { core_.learn_members(members, false); });
   }
   if (config.listen) {
-    FramesFront::Limits limits;
-    limits.most_connections = client_share(config.sockets);
-    frames_ = std::make_unique<FramesFront>(loop, log, core_, listener_at(*config.listen, "listen"), limits);
+    FramesFront::Limits clients;
+    clients.most_connections = client_share(config.sockets);
+    frames_ = std::make_unique<FramesFront>(loop, log, core_, listener_at(*config.listen, "listen"), clients);
     log.line(Level::kNotice, "start", "serving frames",
              {{"port", std::to_string(frames_->port())}, {"engines", std::to_string(config.known.size())}});
   }
+  if (config.mysql) {
+    mysql_ = std::make_unique<MysqlFront>(loop, log, core_, listener_at(config.mysql->listen, "mysql.listen"),
+                                          *config.mysql, config.seed);
+    log.line(Level::kNotice, "start", "serving mysql", {{"port", std::to_string(mysql_->port())}});
+  }
   loop.each_turn([this] { core_.settle(); });
 }
 
@@ -66,12 +83,14 @@
   if (std::exchange(draining_, true)) return;
   log_.line(Level::kNotice, "stop", "draining", {{"open", std::to_string(core_.open_requests())}});
   if (frames_) frames_->drain();
+  if (mysql_) mysql_->drain();
   stop_from_ = loop_.now() + kStragglers;
   stop_when_idle();
 }
 
 void App::stop_when_idle() {
-  const bool idle = core_.open_requests() == 0 && (!frames_ || frames_->is_flushed());
+  const bool idle =
+      core_.open_requests() == 0 && (!frames_ || frames_->is_flushed()) && (!mysql_ || mysql_->is_flushed());
   if (idle && loop_.now() >= stop_from_) {
     log_.line(Level::kNotice, "stop", "idle, so done", {});
     return loop_.stop();
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -7,7 +7,9 @@
 #include "core/dispatcher.h"
 #include "directory/directory.h"
 #include "front/frames.h"
+#include "front/mysql.h"
 #include "link/lines.h"
+#include "link/mysql.h"
 
 namespace rookproxy {
 
@@ -23,9 +25,10 @@
   Loop& loop_;
   Log& log_;
   Dispatcher core_;
-  std::unique_ptr<LinesPool> lines_;
+  std::unique_ptr<Pool> links_;
   std::unique_ptr<DnsDirectory> directory_;
   std::unique_ptr<FramesFront> frames_;
+  std::unique_ptr<MysqlFront> mysql_;
   Time stop_from_{};
   bool draining_ = false;
 };
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -47,7 +47,7 @@
   request.arrival.give_up_at -= limits_.answer_margin;
   request.asker = &asker;
   request.ticket = ticket;
-  request.bytes = arrival.query->statement.size() + arrival.query->parameters.value_or("").size();
+  request.bytes = arrival.query->bytes();
   const bool no_room = held_ + request.bytes > limits_.held_bytes || unanswered_ >= limits_.max_open;
   held_ += request.bytes;
   ++unanswered_;
--- a/src/core/interfaces.h
+++ b/src/core/interfaces.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/time.h"
@@ -25,10 +26,19 @@
   std::string id;          // the client's id for the request, passed on unchanged
   std::string class_name;  // likewise
   std::string statement;   // the bytes that came
-  // A prepared statement's execution, as the front's protocol has it; absent: run the statement as text.
-  std::optional<std::string> parameters;
-  std::string schema;        // the connection's default schema; empty: none
+  // What is asked with it. Only statements and executions run anything; the platform knows statements alone.
+  enum class Kind { kStatement, kPrepare, kExecute, kUseSchema };
+  Kind kind = Kind::kStatement;
+  std::string parameters;  // of an execution, in the bytes of the front's protocol
+  std::vector<std::pair<std::uint16_t, std::string>> long_data;  // of an execution, by parameter
+  std::string schema;                                            // the asker's default schema; empty: none
+  bool writes = false;       // an engine that has begun it is not to be stopped halfway
   bool rows_as_text = true;  // the result as tab-separated lines; else as the engine's own packets
+  std::size_t bytes() const {
+    std::size_t sum = statement.size() + parameters.size();
+    for (const auto& [parameter, data] : long_data) sum += data.size();
+    return sum;
+  }
 };
 
 struct Arrival {
--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -269,6 +269,7 @@
     query->id = *call;
     query->class_name = *op;
     query->statement = body;
+    query->writes = front_.core_.settings().classes[*cls].effect == lemonshift::Effect::kUnsafe;
     arrival.query = std::move(query);
     arrival.cls = *cls;
     arrival.group = sql::table_group(body);
--- /dev/null
+++ b/src/front/mysql.cpp
@@ -0,0 +1,461 @@
+#include "front/mysql.h"
+
+#include <algorithm>
+#include <array>
+
+#include "sql/lexer.h"
+
+namespace rookproxy {
+namespace {
+
+using mysql::PayloadReader;
+
+constexpr std::size_t kMostStatement = 4u << 20;  // bytes of one command, as a server's max_allowed_packet
+constexpr std::size_t kMostPreparedHere = 256;    // statements a connection may hold
+constexpr std::size_t kMostLongData = 4u << 20;   // bytes sent ahead for one statement
+constexpr Duration kLoginTime = std::chrono::seconds(10), kLinger = std::chrono::milliseconds(300);
+constexpr std::size_t kMostQueued = 8u << 20;  // bytes that a client may leave unread
+
+// UTF-8 in its collations, ASCII and binary: all that passes to an engine's UTF-8 session without a change.
+bool passes_as_utf8(unsigned charset) {
+  return charset == 33 || charset == 45 || charset == 46 || charset == 63 || charset == 83 || charset == 11 ||
+         charset == 65 || charset == 76 || (charset >= 192 && charset <= 247) || charset == 255;
+}
+
+bool is_mark(const sql::Token& token, char mark) {
+  return token.kind == sql::Token::Kind::kMark && token.text[0] == mark;
+}
+
+// 'SET NAMES utf8mb4' and 'SET autocommit = 1', which most client libraries send at the start, ask for what
+// holds anyway. They are the only ones that are answered here.
+bool asks_for_what_holds(const std::string& statement) {
+  auto list = sql::tokens(statement);
+  if (!list.empty() && is_mark(list.back(), ';')) list.pop_back();
+  if (list.size() < 3 || !sql::is_word(list[0], "SET")) return false;
+  if (sql::is_word(list[1], "NAMES") && list.size() == 3) {
+    return sql::is_word(list[2], "UTF8MB4") || sql::is_word(list[2], "UTF8");
+  }
+  std::size_t at = 1;
+  if (sql::is_word(list[at], "SESSION")) ++at;
+  const bool autocommit = sql::is_word(list[at], "AUTOCOMMIT") || list[at].text == "@@autocommit" ||
+                          list[at].text == "@@session.autocommit";
+  return autocommit && list.size() == at + 3 && is_mark(list[at + 1], '=') &&
+         (list[at + 2].text == "1" || sql::is_word(list[at + 2], "ON"));
+}
+
+// Numbers the packets of an answer from `sequence` on, where they are not already.
+void renumber(std::string& packets, std::uint8_t sequence) {
+  for (std::size_t at = 0; at + mysql::kHeaderSize <= packets.size();) {
+    if (at == 0 && static_cast<std::uint8_t>(packets[3]) == sequence) return;
+    PayloadReader header(std::string_view(packets).substr(at, 3));
+    packets[at + 3] = static_cast<char>(sequence++);
+    at += mysql::kHeaderSize + header.number(3);
+  }
+}
+
+}  // namespace
+
+class MysqlFront::Connection final : public StreamUser {
+ public:
+  Connection(MysqlFront& front, SlotKey key, Fd fd)
+      : front_(front),
+        key_(key),
+        nonce_(mysql::new_nonce()),
+        stream_(front.loop_, std::move(fd), *this, false, kMostStatement + 64 * 1024) {
+    mysql::Greeting greeting;
+    greeting.thread = front_.next_thread_++;
+    greeting.capabilities = mysql::kCapabilities;
+    greeting.nonce = nonce_;
+    greeting.plugin = mysql::kCachingSha2;
+    greeting.version = "8.0.36-rookproxy";
+    reply(mysql::greeting_payload(greeting));
+    close_after(kLoginTime);
+  }
+  ~Connection() { front_.loop_.cancel(timer_); }
+
+  std::size_t on_bytes(std::string_view bytes) override {
+    if (state_ == State::kDead) return bytes.size();
+    if (state_ == State::kBusy) return 0;  // one command at a time, as a server's session has it
+    mysql::Message message = mysql::take_message(bytes, kMostStatement);
+    if (message.used == 0) return 0;
+    if (message.too_large) {
+      sequence_ = message.next_sequence;
+      fatal(mysql::kPacketTooLarge, "Got a packet bigger than 'max_allowed_packet' bytes");
+      return bytes.size();
+    }
+    const bool login = state_ == State::kLogin || state_ == State::kProof;
+    if (message.out_of_order || message.first_sequence != (login ? sequence_ : 0)) {
+      sequence_ = message.next_sequence;
+      fatal(mysql::kPacketsOutOfOrder, "Got packets out of order");
+      return bytes.size();
+    }
+    sequence_ = message.next_sequence;
+    try {
+      if (state_ == State::kLogin) {
+        log_in(message.payload);
+      } else if (state_ == State::kProof) {
+        prove(message.payload);
+      } else {
+        close_after(front_.config_.idle);
+        command(message.payload);
+      }
+    } catch (const mysql::Malformed& fault) {
+      fatal(mysql::kMalformedPacket, std::string("Malformed communication packet: ") + fault.what());
+    }
+    return message.used;
+  }
+
+  void on_closed(std::string_view) override { front_.drop(key_); }
+
+  std::optional<RequestKey> abandon() {
+    stream_.close();
+    return std::exchange(request_, std::nullopt);
+  }
+
+  bool is_flushed() const { return stream_.queued() == 0; }
+
+  void answered(Answer answer) {
+    request_.reset();
+    state_ = State::kReady;
+    close_after(front_.config_.idle);
+    if (answer.verdict == Verdict::kServed) {
+      served(std::move(answer.body));
+    } else if (answer.verdict == Verdict::kRefused) {
+      const auto pause = std::chrono::ceil<std::chrono::milliseconds>(answer.again.value_or(Duration(0)));
+      error(mysql::kServerNotAvailable,
+            "Refused, nothing was run; try again in " + std::to_string(pause.count()) + " ms");
+    } else if (answer.cause == Cause::kDeadline) {
+      error(mysql::kQueryTimeout, "No answer within the deadline; " + may_have_run());
+    } else {
+      error(mysql::kUnknownError,
+            "Failed, " + may_have_run() + (answer.detail.empty() ? "" : ": " + answer.detail));
+    }
+    // What the client sent meanwhile has waited in the buffer.
+    if (state_ == State::kReady) stream_.look_again();
+  }
+
+ private:
+  enum class State { kLogin, kProof, kReady, kBusy, kDead };
+  struct Statement {
+    std::string text;
+    std::size_t parameters = 0;
+    std::string types;  // as last bound: two bytes each
+    std::map<std::uint16_t, std::string> long_data;
+    std::size_t long_bytes = 0;
+  };
+
+  void reply(std::string_view payload) {
+    stream_.write(mysql::packets(payload, sequence_));
+    if (stream_.queued() > kMostQueued)
+      front_.loop_.defer([&front = front_, key = key_] { front.drop(key); });
+  }
+  void ok() { reply(mysql::ok_payload()); }
+  void error(std::uint16_t code, const std::string& text) { reply(mysql::error_payload(code, text)); }
+  void fatal(std::uint16_t code, const std::string& text) {
+    front_.log_.line(Level::kNotice, "mysql", text, {{"user", login_.user}});
+    error(code, text);
+    state_ = State::kDead;
+    stream_.end_writing();
+    close_after(kLinger);
+  }
+  void not_supported(const std::string& what) {
+    error(mysql::kNotSupportedYet,
+          "rookproxy doesn't support " + what + ": consecutive statements may run on different engines");
+  }
+  std::string may_have_run() const { return pending_writes_ ? "it may have run" : "it changed nothing"; }
+
+  void close_after(Duration pause) {
+    front_.loop_.cancel(timer_);
+    timer_ = front_.loop_.at(front_.loop_.now() + pause, [this] { front_.drop(key_); });
+  }
+
+  // ---- log-in
+
+  void log_in(std::string_view payload) {
+    login_ = mysql::read_login(payload);
+    if ((login_.capabilities & mysql::kSsl) != 0)
+      return fatal(mysql::kNotSupportedYet, "TLS is not offered here");
+    if (!passes_as_utf8(login_.charset)) {
+      return fatal(mysql::kUnknownCharset,
+                   "Unknown character set here: only UTF-8, ASCII and binary are served");
+    }
+    if (login_.plugin.empty()) login_.plugin = mysql::kNativePassword;
+    if (login_.plugin == mysql::kCachingSha2) return check(login_.proof);
+    // Proven with another method than the greeting's, or with an older client's: it is asked anew by a method
+    // of its own, with the same nonce.
+    state_ = State::kProof;
+    const std::string plugin(login_.plugin == mysql::kNativePassword ? mysql::kNativePassword
+                                                                     : mysql::kCachingSha2);
+    login_.plugin = plugin;
+    reply("\xfe" + plugin + '\0' + nonce_ + '\0');
+  }
+
+  void prove(std::string_view payload) { check(payload); }
+
+  void check(std::string_view proof) {
+    const auto user = front_.config_.users.find(login_.user);
+    // An unknown user takes the same steps as a wrong password.
+    const std::string password = user == front_.config_.users.end() ? nonce_ : user->second;
+    const auto expected = mysql::proof_for(login_.plugin, password, nonce_);
+    if (!expected || !mysql::same_secret(*expected, proof) || user == front_.config_.users.end()) {
+      return fatal(mysql::kAccessDenied, "Access denied for user '" + login_.user + "'");
+    }
+    if (login_.plugin == mysql::kCachingSha2 && !proof.empty()) reply("\x01\x03");
+    state_ = State::kReady;
+    close_after(front_.config_.idle);
+    if (!login_.schema.empty()) return use_schema(login_.schema);  // answers the log-in, too
+    ok();
+  }
+
+  // ---- commands
+
+  void command(std::string_view payload) {
+    if (payload.empty()) return error(mysql::kUnknownCommand, "Empty command");
+    PayloadReader reader(payload.substr(1));
+    switch (static_cast<std::uint8_t>(payload[0])) {
+      case mysql::kQuit:
+        return front_.loop_.defer([&front = front_, key = key_] { front.drop(key); });
+      case mysql::kPing:
+        return ok();
+      case mysql::kInitDb:
+        return use_schema(std::string(reader.rest()));
+      case mysql::kQuery:
+        return query(std::string(reader.rest()));
+      case mysql::kStmtPrepare:
+        return prepare(std::string(reader.rest()));
+      case mysql::kStmtExecute:
+        return execute(reader);
+      case mysql::kStmtSendLongData:
+        return long_data(reader);
+      case mysql::kStmtClose:
+        statements_.erase(static_cast<std::uint32_t>(reader.number(4)));
+        return;  // has no answer
+      case mysql::kStmtReset: {
+        Statement* statement = known(static_cast<std::uint32_t>(reader.number(4)));
+        if (!statement) return;
+        statement->long_data.clear();
+        statement->long_bytes = 0;
+        return ok();
+      }
+      case mysql::kStmtFetch:
+        return not_supported("cursors");
+      case mysql::kResetConnection:
+        statements_.clear();
+        return ok();
+      default:
+        return error(mysql::kUnknownCommand, "Unknown command");
+    }
+  }
+
+  bool refused_here(const std::string& statement) {
+    if (sql::tokens(statement).empty()) {
+      error(mysql::kEmptyQuery, "Query was empty");
+      return true;
+    }
+    const auto state = sql::session_state(statement);
+    if (state) not_supported(*state);
+    return state.has_value();
+  }
+
+  void query(std::string statement) {
+    if (asks_for_what_holds(statement)) return ok();
+    if (refused_here(statement)) return;
+    ask(Query::Kind::kStatement, std::move(statement));
+  }
+
+  void use_schema(std::string schema) {
+    if (schema.empty()) return error(1046, "No database selected");
+    pending_schema_ = schema;
+    ask(Query::Kind::kUseSchema, std::move(schema));
+  }
+
+  void prepare(std::string statement) {
+    if (statements_.size() >= kMostPreparedHere) {
+      return error(mysql::kTooManyStatements, "Can't create more than " + std::to_string(kMostPreparedHere) +
+                                                  " prepared statements on one connection");
+    }
+    if (refused_here(statement)) return;
+    pending_statement_ = Statement{};
+    pending_statement_.text = statement;
+    ask(Query::Kind::kPrepare, std::move(statement));
+  }
+
+  Statement* known(std::uint32_t id) {
+    const auto found = statements_.find(id);
+    if (found != statements_.end()) return &found->second;
+    error(mysql::kUnknownStatement, "Unknown prepared statement handler (" + std::to_string(id) + ")");
+    return nullptr;
+  }
+
+  void long_data(PayloadReader& reader) {
+    const auto found = statements_.find(static_cast<std::uint32_t>(reader.number(4)));
+    const auto parameter = static_cast<std::uint16_t>(reader.number(2));
+    if (found == statements_.end()) return;  // has no answer; the execution will tell
+    const auto data = reader.rest();
+    // Counted also when it is over the limit, so that the execution finds it was too much.
+    found->second.long_bytes += data.size();
+    if (found->second.long_bytes <= kMostLongData) found->second.long_data[parameter] += data;
+  }
+
+  // The parameters go on as they came. Only types that were bound by an earlier execution are put in again,
+  // since this one may run on an engine that never saw that.
+  void execute(PayloadReader& reader) {
+    Statement* statement = known(static_cast<std::uint32_t>(reader.number(4)));
+    if (!statement) return;
+    if (statement->long_bytes > kMostLongData) {
+      return error(mysql::kPacketTooLarge, "Got a packet bigger than 'max_allowed_packet' bytes");
+    }
+    const std::uint64_t flags = reader.number(1), iterations = reader.number(4);
+    if ((flags & 7) != 0) return not_supported("cursors");
+    std::string parameters;
+    mysql::put_number(parameters, flags, 1);
+    mysql::put_number(parameters, iterations, 4);
+    if (statement->parameters > 0) {
+      parameters += reader.take((statement->parameters + 7) / 8);
+      const std::uint64_t bound = reader.number(1);
+      if (bound != 0) {
+        statement->types = reader.take(2 * statement->parameters);
+      } else if (statement->types.empty()) {
+        return error(mysql::kWrongArguments, "Incorrect arguments to EXECUTE: no types were bound");
+      }
+      parameters += '\1';
+      parameters += statement->types;
+      parameters += reader.rest();
+    }
+    auto made = std::make_shared<Query>();
+    made->parameters = std::move(parameters);
+    for (auto& [parameter, data] : statement->long_data)
+      made->long_data.emplace_back(parameter, std::move(data));
+    statement->long_data.clear();
+    statement->long_bytes = 0;
+    ask(Query::Kind::kExecute, statement->text, std::move(made));
+  }
+
+  void ask(Query::Kind kind, std::string statement,
+           std::shared_ptr<Query> query = std::make_shared<Query>()) {
+    const bool runs = kind == Query::Kind::kStatement || kind == Query::Kind::kExecute;
+    const bool writes = runs && !sql::only_reads(statement);
+    Arrival arrival;
+    arrival.cls = writes ? front_.load_class_ : front_.read_class_;
+    arrival.group = runs || kind == Query::Kind::kPrepare ? sql::table_group(statement, schema_) : 0;
+    arrival.give_up_at =
+        front_.loop_.now() + (writes ? front_.config_.load_deadline : front_.config_.read_deadline);
+    query->id = front_.new_id();
+    query->class_name = writes ? front_.config_.load_class : front_.config_.read_class;
+    query->statement = std::move(statement);
+    query->kind = kind;
+    query->schema = schema_;
+    query->writes = writes;
+    query->rows_as_text = false;
+    arrival.query = std::move(query);
+    pending_ = kind;
+    pending_writes_ = writes;
+    state_ = State::kBusy;
+    front_.loop_.cancel(timer_);
+    request_ = front_.core_.accept(arrival, front_, key_);
+  }
+
+  void served(std::string packets) {
+    const bool failed = packets.size() > mysql::kHeaderSize && packets[mysql::kHeaderSize] == '\xff';
+    if (pending_ == Query::Kind::kUseSchema && !failed) schema_ = pending_schema_;
+    if (pending_ == Query::Kind::kPrepare && !failed) {
+      // The answer's statement id is the engine's: the client gets one of ours, good on every engine.
+      PayloadReader reader(std::string_view(packets).substr(mysql::kHeaderSize));
+      reader.number(7);
+      pending_statement_.parameters = reader.number(2);
+      const std::uint32_t id = next_statement_++;
+      std::string bytes;
+      mysql::put_number(bytes, id, 4);
+      packets.replace(mysql::kHeaderSize + 1, 4, bytes);
+      statements_[id] = std::move(pending_statement_);
+    }
+    renumber(packets, sequence_);
+    stream_.write(std::move(packets));
+    if (stream_.queued() > kMostQueued)
+      front_.loop_.defer([&front = front_, key = key_] { front.drop(key); });
+  }
+
+  MysqlFront& front_;
+  SlotKey key_;
+  std::string nonce_;
+  State state_ = State::kLogin;
+  std::uint8_t sequence_ = 0;
+  mysql::Login login_;
+  std::string schema_;
+  std::map<std::uint32_t, Statement> statements_;
+  std::uint32_t next_statement_ = 1;
+  std::optional<RequestKey> request_;
+  Query::Kind pending_ = Query::Kind::kStatement;  // what the client waits for
+  bool pending_writes_ = false;
+  Statement pending_statement_;
+  std::string pending_schema_;
+  TimerKey timer_{};
+  Stream stream_;
+};
+
+MysqlFront::MysqlFront(Loop& loop, Log& log, Dispatcher& core, Fd listener, const MysqlFrontConfig& config,
+                       std::uint64_t seed)
+    : loop_(loop),
+      log_(log),
+      core_(core),
+      config_(config),
+      read_class_(core.class_named(config.read_class).value()),
+      load_class_(core.class_named(config.load_class).value()),
+      id_state_(seed ^ static_cast<std::uint64_t>(loop.now().time_since_epoch().count())),
+      port_(local_port(listener)),
+      acceptor_(
+          std::make_unique<Acceptor>(loop, std::move(listener), [this](Fd fd) { accept(std::move(fd)); })) {}
+
+MysqlFront::~MysqlFront() = default;
+
+// Ids look like the platform's: 16 hex digits, never the same twice in a process's life (an odd step through
+// all 64-bit numbers), and unlikely to meet another process's.
+std::string MysqlFront::new_id() {
+  id_state_ += 0x9e3779b97f4a7c15ULL;
+  std::string id(16, '0');
+  for (int i = 0; i < 16; ++i)
+    id[static_cast<std::size_t>(i)] = "0123456789abcdef"[id_state_ >> (60 - 4 * i) & 15];
+  return id;
+}
+
+MysqlFront::Connection* MysqlFront::find(SlotKey key) {
+  auto* found = connections_.find(key);
+  return found ? found->get() : nullptr;
+}
+
+void MysqlFront::accept(Fd fd) {
+  if (connections_.size() >= config_.most_connections) {
+    // Told as a server tells it, so that the client's library can word it.
+    std::uint8_t sequence = 0;
+    const std::string packet =
+        mysql::packets(mysql::error_payload(mysql::kTooManyConnections, "Too many connections"), sequence);
+    send_best_effort(fd, packet);
+    return;
+  }
+  const SlotKey key = connections_.insert(nullptr);
+  *connections_.find(key) = std::make_unique<Connection>(*this, key, std::move(fd));
+}
+
+void MysqlFront::drop(SlotKey key) {
+  Connection* connection = find(key);
+  if (!connection) return;
+  if (const auto request = connection->abandon()) core_.asker_gone(*request);
+  auto kept = std::make_shared<std::unique_ptr<Connection>>(std::move(*connections_.take(key)));
+  loop_.defer([kept] {});
+}
+
+void MysqlFront::on_answer(std::uint64_t ticket, Answer answer) {
+  if (Connection* connection = find(ticket)) connection->answered(std::move(answer));
+}
+
+void MysqlFront::drain() {
+  // Destroyed at the turn's end: the signal may have come in the middle of its own turn.
+  loop_.defer([this] { acceptor_.reset(); });
+}
+
+bool MysqlFront::is_flushed() {
+  const auto keys = connections_.keys();
+  return std::all_of(keys.begin(), keys.end(), [this](SlotKey key) { return find(key)->is_flushed(); });
+}
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/front/mysql.h
@@ -0,0 +1,46 @@
+// The MySQL front: clients that speak MySQL's protocol, with prepared statements, on the same core.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "config/config.h"
+#include "core/dispatcher.h"
+#include "mysql/protocol.h"
+#include "net/stream.h"
+
+namespace rookproxy {
+
+class MysqlFront final : public Asker {
+ public:
+  MysqlFront(Loop& loop, Log& log, Dispatcher& core, Fd listener, const MysqlFrontConfig& config,
+             std::uint64_t seed);
+  ~MysqlFront();
+
+  void on_answer(std::uint64_t ticket, Answer answer) override;
+  // Takes no new connections; those that are open are served until the program ends.
+  void drain();
+  bool is_flushed();
+  std::uint16_t port() const { return port_; }
+
+ private:
+  class Connection;
+  void accept(Fd fd);
+  void drop(SlotKey key);
+  Connection* find(SlotKey key);
+  std::string new_id();
+
+  Loop& loop_;
+  Log& log_;
+  Dispatcher& core_;
+  MysqlFrontConfig config_;
+  lemonshift::ClassIndex read_class_, load_class_;
+  std::uint64_t id_state_;
+  std::uint32_t next_thread_ = 1;
+  SlotTable<std::unique_ptr<Connection>> connections_;
+  std::uint16_t port_;
+  std::unique_ptr<Acceptor> acceptor_;
+};
+
+}  // namespace rookproxy
--- a/src/link/pool.cpp
+++ b/src/link/pool.cpp
@@ -62,11 +62,13 @@
 
 // A connection with room that never carried this id: attempts of one request share it, and an answer to the
 // one must never be taken for the other's.
-LinkConnection* Pool::choose(EngineId engine, const std::string* id) {
+LinkConnection* Pool::choose(EngineId engine, const Query* query) {
   for (const SlotKey key : engines_[engine].connections) {
     LinkConnection* connection = find(key);
-    if (!connection || connection->retired_ || !connection->takes_requests()) continue;
-    if (id && (connection->open_ >= limits_.per_connection || connection->used_ids_.contains(*id))) continue;
+    if (!connection || connection->retired_) continue;
+    if (!connection->takes(query)) continue;
+    if (query && (connection->open_ >= limits_.per_connection || connection->used_ids_.contains(query->id)))
+      continue;
     return connection;
   }
   return nullptr;
@@ -100,7 +102,7 @@
 void Pool::send(const Order& order) {
   LinkConnection* connection = nullptr;
   if (order.engine < engines_.size()) {
-    connection = choose(order.engine, &order.query->id);
+    connection = choose(order.engine, order.query.get());
     if (!connection) connection = dial(order.engine);
   }
   if (!connection) {
--- a/src/link/pool.h
+++ b/src/link/pool.h
@@ -40,7 +40,7 @@
   virtual void drop_unsent() = 0;
   // The stream is gone: whatever is out ends.
   virtual void lost(std::string_view why) = 0;
-  virtual bool takes_requests() const { return true; }
+  virtual bool takes(const Query*) const { return true; }  // none: a probe
 
   void on_connected() override;
   void on_closed(std::string_view why) final;
@@ -85,6 +85,7 @@
   friend class LinkConnection;
   virtual std::unique_ptr<LinkConnection> make(SlotKey key, EngineId engine) = 0;
   virtual std::size_t input_limit() const = 0;
+  LinkConnection* dial(EngineId engine);
 
   Loop& loop_;
   Log& log_;
@@ -98,8 +99,7 @@
     TimerKey probe_timer{};
   };
   LinkConnection* find(SlotKey key);
-  LinkConnection* choose(EngineId engine, const std::string* id);
-  LinkConnection* dial(EngineId engine);
+  LinkConnection* choose(EngineId engine, const Query* query);
   bool make_room();
   void drop(SlotKey key, std::string_view why);
   void watch_silence(SlotKey key);
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -1,6 +1,5 @@
 #include "log/log.h"
 
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -110,7 +109,7 @@
       format_rfc5424(level, facility_, now, host_, app_, process_, message_id, fields, text);
   out_ << made << '\n' << std::flush;
   // Best effort: a full or unreachable collector must not hold the dispatcher up.
-  if (syslog_) ::send(syslog_.get(), made.data(), made.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  send_best_effort(syslog_, made);
 }
 
 }  // namespace rookproxy
--- a/src/net/fd.cpp
+++ b/src/net/fd.cpp
@@ -128,4 +128,8 @@
   return ntohs(address.sin_port);
 }
 
+void send_best_effort(const Fd& fd, std::string_view bytes) {
+  if (fd) ::send(fd.get(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 }  // namespace rookproxy
--- a/src/net/fd.h
+++ b/src/net/fd.h
@@ -48,5 +48,7 @@
 Fd connect_unix(const std::string& path);
 Fd accept_from(const Fd& listener);
 std::uint16_t local_port(const Fd& fd);
+// One send, and whatever comes of it.
+void send_best_effort(const Fd& fd, std::string_view bytes);
 
 }  // namespace rookproxy
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -65,9 +65,11 @@
 }
 
 void Stream::hold_reading(bool hold) {
-  if (held_ == hold) return;
-  held_ = hold;
-  if (!held_ && fd_) loop_.again(key_, EPOLLIN);
+  if (std::exchange(held_, hold) && !hold) look_again();
+}
+
+void Stream::look_again() {
+  if (fd_) loop_.again(key_, EPOLLIN);
 }
 
 void Stream::flush() {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -48,6 +48,8 @@
   void end_writing();
   // Stops reading (and so makes the peer wait), or goes on.
   void hold_reading(bool hold);
+  // The user is ready for bytes that it left in the buffer.
+  void look_again();
   bool is_open() const { return static_cast<bool>(fd_); }
   bool is_connected() const { return !connecting_; }
   std::size_t queued() const { return queued_; }
