Prove both fronts by scenarios: a small language, engine and directory stand-ins

Executed loads are counted at the stand-in, duplicates are 0, and one scenario shows that the count would catch one.

Found by them: a result over the limit was retried on every engine as an engine's fault and ended as a refusal; it is now an error of its own (1153). src/link/mysql.cpp, on_bytes. Two scenarios failed on the module's (right) early refusal of loads whose deadline leaves no time; they now set a low target.

--- a/src/link/mysql.cpp
+++ b/src/link/mysql.cpp
@@ -199,7 +199,7 @@
       response_ += packet;
       mysql_.results_ += packet.size();
       if (response_.size() > mysql_.most_result_ || mysql_.results_ > mysql_.most_results_) {
-        end(Outcome::kError, "the result is too large");
+        too_large();
         break_off("the result is too large");
       } else if (tracker_.take(payload)) {
         response_over();
@@ -254,6 +254,17 @@
   }  // else 01 03: the proof was right, OK follows
 }
 
+// The statement has run and would give as much anywhere: an error of its own, as a server words it, and no
+// fault of the engine's that another attempt could mend.
+void MysqlConnection::too_large() {
+  if (!order_) return;
+  const std::string words = "Result of more than " + std::to_string(mysql_.most_result_) + " bytes";
+  std::uint8_t first = 1;
+  const bool text = order_->query->rows_as_text;
+  end(text ? Outcome::kError : Outcome::kServed,
+      text ? words : mysql::packets(mysql::error_payload(mysql::kPacketTooLarge, words), first));
+}
+
 void MysqlConnection::response_over() {
   const bool failed = tracker_.failed();
   switch (state_) {
--- a/src/link/mysql.h
+++ b/src/link/mysql.h
@@ -42,6 +42,7 @@
   void prove(std::string_view plugin, std::string_view nonce);
   void go_on();  // the next step of what is ordered, or of a probe
   void execute(std::uint32_t id);
+  void too_large();
   void response_over();
   void run_over();
   void end(Outcome outcome, std::string body = "");
--- /dev/null
+++ b/tests/dispatch/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/dispatch/scenario.cpp
@@ -0,0 +1,521 @@
+#include "scenario.h"
+
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+
+#include "front/frames.h"
+#include "link/lines.h"
+#include "standins.h"
+
+namespace rookproxy::test {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+[[noreturn]] void fail(const std::string& why) { throw std::runtime_error(why); }
+void require(bool holds, const std::string& why) {
+  if (!holds) fail(why);
+}
+
+std::string unescape(const std::string& text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '\\' || i + 1 == text.size()) {
+      out += text[i];
+    } else {
+      const char c = text[++i];
+      out += c == 't' ? '\t' : c == 'n' ? '\n' : c == 'r' ? '\r' : c;
+    }
+  }
+  return out;
+}
+
+std::string from_hex(const std::string& text) {
+  std::string out;
+  for (std::size_t i = 0; i + 1 < text.size(); i += 2) {
+    out += static_cast<char>(std::stoi(text.substr(i, 2), nullptr, 16));
+  }
+  return out;
+}
+
+json base_config() {
+  return json::parse(R"({"name":"t1","listen":"127.0.0.1:0","seed":"1f","limits":{"cores":1.0,"memory_mb":192,
+    "sockets":1024},"directory_poll_ms":20,"log":{"level":"debug"},"known":{"offset":1,"batch":[]},"settings":{
+    "fleet_size":1,"ordinal":0,"localities":["z"],"zone":"z","models":["m"],"membership_mode":"automatic","grades":[
+    {"name":"lookup","effect":"pure","value":1.0,"target":600000,"aim_stretch":1.5,"deadline":3000000,"late_worth":0.1},
+    {"name":"load","effect":"side_effect","value":6.0,"target":4000000,"aim_stretch":2.5,"deadline":25000000,
+    "late_worth":0.5}],"domain":{"cpu_of_kind":[8],"ram_of_kind_mb":[16384.0],"threads_by_class":[1,2],
+    "is_load":[false,true],"yields_to_loads":[true,false],"takes_grants":true,"priorities":true,"tells_every":500000,
+    "out_of_memory":"page"},"permissions":{"cancel":true,"probes":false,"second_copies":true,"max_attempts":6,
+    "max_retry_after":2000000,"keepalive":30000000,"dial_timeout":250000,"multiplex":32},"report":{"source":"inline",
+    "fields":["backlog","x0","x1"]},"safety":{"drain_grace":2000000,"grace_to_answer":20000}}})");
+}
+
+// The dispatcher's process; its log goes to a file that is read back.
+class Process {
+ public:
+  void start(const std::string& config_path, const std::string& log_path) {
+    log_path_ = log_path;
+    pid_ = ::fork();
+    if (pid_ == 0) {
+      ::setenv("NODE_CONFIG", config_path.c_str(), 1);
+      if (!std::freopen(log_path.c_str(), "w", stderr)) ::_exit(99);
+      ::execl(ROOKPROXY_BINARY, "rookproxy", nullptr);
+      ::_exit(99);
+    }
+  }
+  ~Process() {
+    if (pid_ > 0) {
+      ::kill(pid_, SIGKILL);
+      ::waitpid(pid_, nullptr, 0);
+    }
+  }
+  std::string log() const {
+    std::ifstream in(log_path_);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+  }
+  // What follows `before` in the log, up to a quote, once it is there.
+  std::string wait_for(const std::string& before) const {
+    const auto until = std::chrono::steady_clock::now() + kPatience;
+    while (std::chrono::steady_clock::now() < until) {
+      const std::string text = log();
+      if (const auto at = text.find(before); at != std::string::npos) {
+        const auto from = at + before.size();
+        return text.substr(from, text.find('"', from) - from);
+      }
+      std::this_thread::sleep_for(5ms);
+    }
+    fail("the log never said " + before);
+  }
+  void signal(int number) { ::kill(pid_, number); }
+  int exit_code() {
+    int status = 0;
+    const auto until = std::chrono::steady_clock::now() + kPatience;
+    while (::waitpid(pid_, &status, WNOHANG) == 0) {
+      require(std::chrono::steady_clock::now() < until, "it does not exit");
+      std::this_thread::sleep_for(5ms);
+    }
+    pid_ = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  }
+  bool started() const { return !log_path_.empty(); }
+
+ private:
+  pid_t pid_ = 0;
+  std::string log_path_;
+};
+
+struct LineEngine {
+  Fd listener = listen_anywhere();
+  std::uint16_t port = local_port(listener);
+  std::vector<Peer> peers;
+  std::size_t last = 0;  // the peer that the last command came from
+  std::string id;        // of the last REQ
+
+  // The next command from any connection: its line, and the body of a REQ after it.
+  std::optional<std::string> next(std::chrono::milliseconds within) {
+    const auto until = std::chrono::steady_clock::now() + within;
+    do {
+      if (listener && readable(listener, 1ms)) peers.emplace_back(accept_from(listener));
+      for (std::size_t i = 0; i < peers.size(); ++i) {
+        peers[i].more(1ms);
+        const auto end = peers[i].buffer().find("\r\n");
+        if (end == std::string::npos) continue;
+        std::string line = peers[i].buffer().substr(0, end);
+        std::size_t used = end + 2;
+        if (line.starts_with("REQ ")) {
+          const std::size_t body = std::stoul(line.substr(line.rfind(' ') + 1));
+          if (!peers[i].has(used + body + 2)) fail("a body that ends too soon");
+          line += "\n" + peers[i].buffer().substr(used, body);
+          used += body + 2;
+          id = line.substr(4, line.find(' ', 4) - 4);
+        }
+        peers[i].take(used);
+        last = i;
+        return line;
+      }
+    } while (std::chrono::steady_clock::now() < until);
+    return std::nullopt;
+  }
+};
+
+struct Client {
+  Peer peer;
+  bool mysql = false;
+  std::vector<std::uint32_t> statements;  // by order of their prepares
+};
+
+class Player {
+ public:
+  Player() {
+    const char* base = std::getenv("TMPDIR");
+    std::string path = std::string(base ? base : "/tmp") + "/rookproxy-test-XXXXXX";
+    require(::mkdtemp(path.data()) != nullptr, "no folder");
+    folder_ = path;
+  }
+  ~Player() {
+    ::unlink((folder_ + "/config.json").c_str());
+    ::unlink((folder_ + "/log").c_str());
+    ::rmdir(folder_.c_str());
+  }
+  std::string log() const { return process_.started() ? process_.log() : ""; }
+
+  void step(const std::string& line) {
+    in_ = std::istringstream(line);
+    const std::string verb = word();
+    if (verb == "engines" || verb == "mysql-engines") return engines(verb == "mysql-engines");
+    if (verb == "set") return set();
+    if (verb == "start") return start();
+    if (verb == "directory") return directory();
+    if (verb == "client") return connect();
+    if (verb == "mysql") return log_in();
+    if (verb == "send") return send();
+    if (verb == "expect") return expect();
+    if (verb == "close") return close();
+    if (verb == "wait") return std::this_thread::sleep_for(std::chrono::milliseconds(std::stoi(word())));
+    if (verb == "signal") return process_.signal(word() == "TERM" ? SIGTERM : SIGINT);
+    fail("unknown step");
+  }
+
+ private:
+  std::string word() {
+    std::string out;
+    in_ >> out;
+    return out;
+  }
+  std::string rest() {
+    std::string out;
+    std::getline(in_ >> std::ws, out);
+    return unescape(out);
+  }
+
+  std::uint16_t engine_port(const std::string& name) {
+    return mysql_engines_.contains(name) ? mysql_engines_[name]->port() : line_engines_.at(name).port;
+  }
+
+  void engines(bool mysql) {
+    json members = json::array();
+    for (std::string name = word(); !name.empty(); name = word()) {
+      if (mysql) {
+        mysql_engines_[name] = std::make_unique<MysqlStandIn>();
+      } else {
+        line_engines_[name];
+      }
+      members.push_back({{"id", name},
+                         {"host_port", "127.0.0.1:" + std::to_string(engine_port(name))},
+                         {"locality", "z"},
+                         {"flavor", "m"},
+                         {"phase", "up"},
+                         {"size", 1},
+                         {"up_since_ms", 0}});
+    }
+    config_["known"]["batch"] =
+        json::array({{{"offset", 1},
+                      {"topology", {{"revision", 1}, {"complete", true}, {"members", std::move(members)}}}}});
+    if (!mysql) return;
+    config_["link"] = "mysql";
+    config_["mysql_engines"] = {{"user", "rookproxy"}, {"password", "engine-secret"}};
+    config_["mysql"] = {{"listen", "127.0.0.1:0"},
+                        {"users", {{"school", "secret"}}},
+                        {"read_class", "lookup"},
+                        {"load_class", "load"}};
+  }
+
+  void set() {
+    const std::string pointer = word();
+    config_[json::json_pointer(pointer)] = json::parse(rest());
+  }
+
+  void start() {
+    config_["nameserver"] = "127.0.0.1:" + std::to_string(directory_.port());
+    std::ofstream(folder_ + "/config.json") << config_;
+    process_.start(folder_ + "/config.json", folder_ + "/log");
+    process_.wait_for("serving frames");
+    frames_port_ = static_cast<std::uint16_t>(std::stoi(process_.wait_for("start [rookproxy@32473 port=\"")));
+    if (!mysql_engines_.empty()) {
+      process_.wait_for("serving mysql");
+      const std::string log = process_.log();
+      const auto line = log.substr(0, log.find(" serving mysql")).rfind("port=\"");
+      mysql_port_ = static_cast<std::uint16_t>(std::stoi(log.substr(line + 6)));
+    }
+  }
+
+  void directory() {
+    std::vector<Member> members;
+    for (std::string entry = word(); !entry.empty(); entry = word()) {
+      const auto equals = entry.find('=');
+      Member member;
+      member.id = entry.substr(0, equals);
+      member.address = {0x7f000001, engine_port(member.id)};
+      member.kind = "m";
+      if (entry.substr(equals + 1) == "draining") member.state = lemonshift::EngineState::kDraining;
+      members.push_back(std::move(member));
+    }
+    directory_.tell(std::move(members));
+    process_.wait_for("new list");
+    process_.wait_for("serial=\"" + std::to_string(directory_.serial()));
+  }
+
+  void connect() { clients_.insert_or_assign(word(), Client{Peer::connect(frames_port_), false, {}}); }
+
+  void log_in() {
+    const std::string name = word(), schema = word();
+    Client client{Peer::connect(mysql_port_), true, {}};
+    const auto greeting = take_mysql(client.peer);
+    require(greeting.has_value(), "no greeting");
+    const auto read = mysql::read_greeting(greeting->payload);
+    mysql::Login login;
+    login.capabilities = mysql::kCapabilities & ~mysql::kConnectAttrs;
+    if (schema.empty()) login.capabilities &= ~mysql::kConnectWithDb;
+    login.user = "school";
+    login.schema = schema;
+    login.plugin = read.plugin;
+    login.proof = *mysql::proof_for(read.plugin, "secret", read.nonce);
+    std::uint8_t sequence = 1;
+    client.peer.send(mysql::packets(mysql::login_payload(login), sequence));
+    auto answer = take_mysql(client.peer);
+    if (answer && answer->payload == "\x01\x03") answer = take_mysql(client.peer);
+    require(answer && answer->payload.starts_with('\0'), "the log-in failed");
+    clients_.insert_or_assign(name, std::move(client));
+  }
+
+  void send() {
+    const std::string name = word(), what = word();
+    if (line_engines_.contains(name)) {
+      LineEngine& engine = line_engines_.at(name);
+      if (what == "raw") return engine.peers.at(engine.last).send(rest());
+      const std::string fields = word(), body = rest();
+      return engine.peers.at(engine.last)
+          .send(engine.id + " " + what + " " + fields + " " + std::to_string(body.size()) + "\r\n" + body +
+                "\r\n");
+    }
+    Client& client = clients_.at(name);
+    client.mysql ? send_mysql(client, what) : send_frame(client, what);
+  }
+
+  void send_frame(Client& client, const std::string& what) {
+    if (what == "hex") return client.peer.send(from_hex(word()));
+    const auto stream = static_cast<std::uint32_t>(std::stoul(word()));
+    if (what == "abandon") return client.peer.send(frames::make_frame(frames::kAbandon, stream, ""));
+    if (what == "ready")
+      return client.peer.send(frames::make_frame(frames::kIsReady, stream, std::string(1, '\0')));
+    frames::Fields fields;
+    if (what == "request") {
+      fields["op"] = word();
+      fields["ttl"] = word();
+      std::ostringstream call;
+      call << std::hex << 0x1000000000000000 + ++calls_;
+      fields["call"] = call.str();
+    } else {
+      std::istringstream list(word());
+      for (std::string part; std::getline(list, part, ',');) {
+        fields[part.substr(0, part.find('='))] = part.substr(part.find('=') + 1);
+      }
+    }
+    std::string payload(1, static_cast<char>(fields.size()));
+    for (const auto& [key, value] : fields) {
+      payload += static_cast<char>(key.size()) + key;
+      payload += static_cast<char>(value.size() >> 8);
+      payload += static_cast<char>(value.size()) + value;
+    }
+    client.peer.send(frames::make_frame(frames::kRequest, stream, payload + rest()));
+  }
+
+  void send_mysql(Client& client, const std::string& what) {
+    std::string payload;
+    if (what == "query") payload = '\x03' + rest();
+    if (what == "prepare") payload = '\x16' + rest();
+    if (what == "command") payload = from_hex(word());
+    if (what == "execute" || what == "again") {
+      payload = '\x17';
+      mysql::put_number(payload, client.statements.at(std::stoul(word()) - 1), 4);
+      payload += std::string("\0\1\0\0\0", 5);
+      if (const std::string value = rest(); !value.empty()) {
+        const bool is_long = value == "LONG";
+        payload += '\0';
+        payload += what == "execute" ? std::string("\1\xfd\0", 3) : std::string(1, '\0');
+        if (!is_long) mysql::put_lenenc_text(payload, value);
+      }
+    }
+    if (what == "long") {
+      payload = '\x18';
+      mysql::put_number(payload, client.statements.at(std::stoul(word()) - 1), 4);
+      mysql::put_number(payload, std::stoul(word()), 2);
+      payload += rest();
+    }
+    std::uint8_t sequence = 0;
+    client.peer.send(mysql::packets(payload, sequence));
+  }
+
+  std::optional<frames::Frame> next_frame(Client& client, std::string& kept) {
+    frames::Frame frame;
+    std::size_t used = 0;
+    while (frames::parse_frame(client.peer.buffer(), frame, used) != frames::Parse::kOne) {
+      if (!client.peer.more()) return std::nullopt;
+    }
+    kept = client.peer.take(used);
+    frames::parse_frame(kept, frame, used);
+    return frame;
+  }
+
+  void expect_frame(Client& client, const std::string& what) {
+    std::string kept;
+    const auto frame = next_frame(client, kept);
+    require(frame.has_value(), "nothing came");
+    if (what == "goaway")
+      return require(frame->type == frames::kGoAway && frame->stream == 0, "not a go-away");
+    if (what == "ready") {
+      require(frame->type == frames::kReady, "not an answer on readiness");
+      return require(frame->payload[0] == std::stoi(word()), "the other readiness");
+    }
+    require(frame->type == frames::kAnswer, "not an answer but type " + std::to_string(frame->type));
+    if (what == "error") return require(frame->stream == 0, "an error on a stream");
+    const int code = what == "served" ? 0 : what == "refused" ? 1 : 2;
+    std::string_view body = frame->payload.substr(1);
+    frames::Fields fields;
+    require(frames::parse_fields(body, fields), "unreadable fields");
+    require(frame->stream == std::stoul(word()), "on stream " + std::to_string(frame->stream));
+    require(frame->payload[0] == code,
+            "code " + std::to_string(frame->payload[0]) + ": " + std::string(body));
+    require(code != 1 || fields.contains("pushback"), "a refusal without a time to come back");
+    const std::string text = rest();
+    require(code == 0 ? body == text : body.find(text) != body.npos, "body '" + std::string(body) + "'");
+  }
+
+  void expect_mysql(Client& client, const std::string& what) {
+    const auto first = take_mysql(client.peer);
+    require(first.has_value(), "nothing came");
+    require(first->first_sequence == 1, "a sequence that does not start at 1");
+    const std::string& payload = first->payload;
+    const std::string got = payload.starts_with('\xff') ? std::to_string(mysql::read_error(payload).code) +
+                                                              " " + mysql::read_error(payload).text
+                                                        : "no error";
+    if (what == "error") {
+      require(got.starts_with(word()), got);
+      return require(got.find(rest()) != std::string::npos, got);
+    }
+    require(got == "no error", got);
+    if (what == "ok") return require(payload.starts_with('\0'), "not OK");
+    mysql::ResponseTracker tracker(what == "prepared" ? mysql::ResponseTracker::Kind::kPrepare
+                                                      : mysql::ResponseTracker::Kind::kPlain);
+    std::uint8_t sequence = first->next_sequence;
+    int messages = 1;
+    for (bool whole = tracker.take(payload); !whole; ++messages) {
+      const auto message = take_mysql(client.peer);
+      require(message.has_value(), "an answer that ends too soon");
+      require(message->first_sequence == sequence, "packets out of order");
+      sequence = message->next_sequence;
+      whole = tracker.take(message->payload);
+    }
+    if (what == "prepared") {
+      mysql::PayloadReader reader(std::string_view(payload).substr(1));
+      return client.statements.push_back(static_cast<std::uint32_t>(reader.number(4)));
+    }
+    // Count, one column, two ends, and the rows.
+    require(messages - 4 == std::stoi(word()), std::to_string(messages - 4) + " rows");
+  }
+
+  std::vector<std::string> gathered(bool prepared) {
+    std::vector<std::string> all;
+    for (auto& [name, engine] : mysql_engines_) {
+      for (auto& one : prepared ? engine->prepared() : engine->executed()) all.push_back(one);
+    }
+    return all;
+  }
+
+  void expect_count(const std::string& what) {
+    const long wanted = std::stol(word());
+    const std::string text = rest();
+    const auto until = std::chrono::steady_clock::now() + kPatience;
+    for (;;) {
+      const auto all = gathered(what == "prepared");
+      const long count =
+          what == "duplicates"
+              ? static_cast<long>(duplicates(all))
+              : std::count_if(all.begin(), all.end(), [&](const auto& s) { return s.find(text) != s.npos; });
+      if (count == wanted) return;
+      require(count < wanted && std::chrono::steady_clock::now() < until, "counted " + std::to_string(count));
+      std::this_thread::sleep_for(5ms);
+    }
+  }
+
+  void expect() {
+    const std::string name = word();
+    if (name == "executed" || name == "prepared" || name == "duplicates") return expect_count(name);
+    const std::string what = word();
+    if (name == "dispatcher") return require(process_.exit_code() == std::stoi(word()), "another exit code");
+    if (line_engines_.contains(name)) return expect_engine(line_engines_.at(name), what);
+    Client& client = clients_.at(name);
+    if (what == "closed") return require(client.peer.at_end(), "still open");
+    if (what == "nothing") {
+      return require(
+          client.peer.buffer().empty() && !client.peer.more(std::chrono::milliseconds(std::stoi(word()))),
+          "something came");
+    }
+    client.mysql ? expect_mysql(client, what) : expect_frame(client, what);
+  }
+
+  void expect_engine(LineEngine& engine, const std::string& what) {
+    if (what == "nothing") {
+      const auto command = engine.next(std::chrono::milliseconds(std::stoi(word())));
+      return require(!command, "it got " + command.value_or(""));
+    }
+    const auto command = engine.next(kPatience);
+    require(command.has_value(), "nothing came");
+    const std::string text = rest();
+    require(command->starts_with(what + " ") && command->find(text) != std::string::npos,
+            "it got " + *command);
+  }
+
+  void close() {
+    const std::string name = word();
+    if (!line_engines_.contains(name)) return clients_.at(name).peer.close();
+    LineEngine& engine = line_engines_.at(name);
+    if (word() == "listener") engine.listener.reset();
+    engine.peers.clear();
+  }
+
+  std::istringstream in_;
+  std::string folder_;
+  json config_ = base_config();
+  DirectoryStandIn directory_;
+  std::map<std::string, LineEngine> line_engines_;
+  std::map<std::string, std::unique_ptr<MysqlStandIn>> mysql_engines_;
+  std::map<std::string, Client> clients_;
+  Process process_;
+  std::uint16_t frames_port_ = 0, mysql_port_ = 0;
+  std::uint64_t calls_ = 0;
+};
+
+}  // namespace
+
+void play(const std::string& scenario) {
+  Player player;
+  std::istringstream lines(scenario);
+  int number = 0;
+  for (std::string line; std::getline(lines, line);) {
+    ++number;
+    line.erase(0, std::min(line.find_first_not_of(" \t"), line.size()));
+    if (line.empty() || line.starts_with('#')) continue;
+    try {
+      player.step(line);
+    } catch (const std::exception& fault) {
+      throw std::runtime_error("line " + std::to_string(number) + ", '" + line + "': " + fault.what() + "\n" +
+                               player.log());
+    }
+  }
+}
+
+}  // namespace rookproxy::test
--- /dev/null
+++ b/tests/dispatch/scenarios.cpp
@@ -0,0 +1,468 @@
+// Whole paths, played against the real program. Each says what it guards against.
+#include <catch2/catch.hpp>
+
+#include "scenario.h"
+
+using rookproxy::test::play;
+
+TEST_CASE("a request is served, with all its pages in order") {
+  // Guards against answers before the last page, and pages joined in the order in which they came.
+  play(R"(
+    engines a
+    start
+    client c
+    send c ready 7
+    expect c ready 0
+    send c request 1 lookup 3000 SELECT x FROM sales_17.orders
+    expect a REQ queue=lookup
+    send a data parts=3 r0\tx\n
+    expect a FETCH 1
+    expect a FETCH 2
+    send a page part_no=2 r2\ty\n
+    expect c nothing 50
+    send a page part_no=1 r1\tz\n
+    expect c served 1 r0\tx\nr1\tz\nr2\ty\n
+    expect a END)");
+}
+
+TEST_CASE("a safe request that was turned away goes on to another engine") {
+  // Guards against giving up, or against a second answer, after 'full'.
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 lookup 3000 SELECT 1
+    expect a REQ
+    send a full -
+    expect a REQ
+    send a data parts=1 ok\n
+    expect c served 1 ok\n
+    expect c nothing 50)");
+}
+
+TEST_CASE("a load whose connection broke is failed, never resent") {
+  // Guards against a second run of what may have run.
+  play(R"(
+    engines a b
+    start
+    client c
+    send c request 1 load 5000 INSERT INTO sales_17.orders VALUES (1)
+    expect a REQ queue=load
+    close a
+    expect c failed 1
+    expect a nothing 200
+    expect b nothing 1)");
+}
+
+TEST_CASE("a load whose pages are lost is failed, never resent") {
+  // Guards against taking a lost page for a query that never ran.
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 load 5000 INSERT INTO s_1.t VALUES (1)
+    expect a REQ
+    send a data parts=2 r0\n
+    expect a FETCH 1
+    send a failed -
+    expect c failed 1
+    expect a nothing 200)");
+}
+
+TEST_CASE("a load that no engine took is refused, with a time to come back") {
+  // Guards against 'failed' where a retry is harmless, and against holding what has been given up on.
+  play(R"(
+    engines a
+    set /settings/permissions/max_attempts 1
+    start
+    client c
+    send c request 1 load 20000 INSERT INTO s_1.t VALUES (1)
+    expect a REQ
+    send a full -
+    expect c refused 1)");
+}
+
+TEST_CASE("a request that nobody answers fails before its client gives up") {
+  // Guards against late answers: the client's own clock runs out at 600 ms. (A low target, or the module
+  // would see no time left for a load and refuse it at once.)
+  play(R"(
+    engines a
+    set /settings/grades/1/target 60000
+    start
+    client c
+    send c request 1 load 600 INSERT INTO s_1.t VALUES (1)
+    expect a REQ budget=
+    expect c failed 1 deadline
+    expect a STOP)");
+}
+
+TEST_CASE("what a client abandons is stopped and not answered") {
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 lookup 3000 SELECT 1
+    expect a REQ
+    send c abandon 1
+    expect a STOP
+    expect c nothing 50
+    send c request 2 lookup 3000 SELECT 2
+    expect a REQ
+    send a data parts=1 two\n
+    expect c served 2 two\n)");
+}
+
+TEST_CASE("a load outlives its client") {
+  // Guards against half a load: once begun it runs to its end, and only once.
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 load 5000 INSERT INTO s_1.t VALUES (1)
+    expect a REQ
+    close c
+    expect a nothing 200
+    send a data parts=1 done\n
+    expect a nothing 100)");
+}
+
+TEST_CASE("attempts of one request never share a connection") {
+  // Guards against an answer to an abandoned attempt being taken for the answer to the next.
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 lookup 3000 SELECT 1
+    expect a REQ
+    send a failed -
+    expect a REQ
+    send a data parts=1 second\n
+    expect c served 1 second\n)");
+}
+
+TEST_CASE("requests that can't be sent on are answered on their stream") {
+  // Guards against garbage reaching an engine, and against one bad request costing its neighbours the
+  // connection.
+  play(R"(
+    engines a
+    start
+    client c
+    send c fields 1 op=nonsense,call=00000000000000a1,ttl=500 SELECT 1
+    expect c failed 1 op
+    send c fields 2 op=lookup,call=xyz,ttl=500 SELECT 1
+    expect c failed 2 call
+    send c fields 3 op=lookup,call=00000000000000a1,ttl=-4 SELECT 1
+    expect c failed 3 ttl
+    send c fields 4 op=lookup,call=00000000000000a1,ttl=500,work=nan SELECT 1
+    expect c failed 4 work
+    send c hex 000000070200000005ff01
+    expect c failed 5 fields
+    expect a nothing 50
+    send c hex 000000010200000005
+    expect c error
+    expect c closed)");
+}
+
+TEST_CASE("an oversized request is answered on its stream and skipped") {
+  play(R"(
+    engines a
+    start
+    client c
+    send c hex 0004000802000000090000
+    expect c failed 9 larger
+    expect a nothing 50)");
+}
+
+TEST_CASE("an engine that drains gets nothing new") {
+  // Guards against sends after the drain's grace, and against losing what waits.
+  play(R"(
+    engines a b
+    start
+    directory a=draining b=up
+    wait 1700
+    client c
+    send c request 1 load 5000 INSERT INTO s_1.t VALUES (1)
+    expect b REQ
+    send b data parts=1 ok\n
+    expect c served 1 ok\n
+    expect a nothing 50)");
+}
+
+TEST_CASE("an address that passes to a new engine carries nothing of the old one's") {
+  // Guards against knowing engines by address: 'b' answers where 'a' did.
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 lookup 3000 SELECT 1
+    expect a REQ
+    send a data parts=1 one\n
+    expect c served 1 one\n
+    directory a=draining
+    directory a=up
+    send c request 2 lookup 3000 SELECT 2
+    expect a REQ
+    send a data parts=1 two\n
+    expect c served 2 two\n)");
+}
+
+TEST_CASE("an engine's answer that can't be read costs the connection, not the dispatcher") {
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 lookup 3000 SELECT 1
+    expect a REQ
+    send a raw this is not an answer at all\r\n
+    expect a REQ
+    send a data parts=1 fine\n
+    expect c served 1 fine\n)");
+}
+
+TEST_CASE("an engine that refuses connections gets a request nowhere near it") {
+  // Guards against 'may have run' where nothing was sent: the load goes on to the other engine.
+  play(R"(
+    engines a b
+    close a listener
+    start
+    client c
+    send c request 1 load 5000 INSERT INTO s_1.t VALUES (1)
+    send c request 2 load 5000 INSERT INTO s_2.t VALUES (1)
+    expect b REQ
+    send b data parts=1 ok\n
+    expect b REQ
+    send b data parts=1 ok\n)");
+}
+
+TEST_CASE("SIGTERM: not ready, told to go away, stragglers served, then gone") {
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 lookup 3000 SELECT 1
+    expect a REQ
+    signal TERM
+    expect c goaway
+    send c ready 3
+    expect c ready 1
+    send c request 2 lookup 3000 SELECT 2
+    expect a REQ
+    send a data parts=1 two\n
+    expect c served 2 two\n
+    client d
+    expect d goaway
+    close a
+    expect a REQ SELECT 1
+    send a data parts=1 one\n
+    expect c served 1 one\n
+    expect dispatcher exit 0)");
+}
+
+TEST_CASE("mysql: statements, rows, errors and schemas pass through") {
+  play(R"(
+    mysql-engines a b
+    start
+    mysql m
+    send m command 0e
+    expect m ok
+    send m query SELECT rows_3 FROM school_4.marks
+    expect m rows 3
+    send m query SELECT wide_70000 FROM school_4.marks
+    expect m rows 1
+    send m query SELECT bad FROM
+    expect m error 1064 syntax
+    send m query INSERT INTO school_4.marks VALUES (1)
+    expect m ok
+    send m command 026e6f7768657265
+    expect m error 1049
+    send m command 027363686f6f6c5f34
+    expect m ok
+    send m query
+    expect m error 1065
+    send m query SET NAMES utf8mb4
+    expect m ok
+    send m command 1f
+    expect m ok
+    send m command 63
+    expect m error 1047
+    expect executed 1 INSERT
+    send m command 01
+    expect m closed)");
+}
+
+TEST_CASE("mysql: large packets pass both ways") {
+  // A result of more than one packet's 16 MB is refused by size, one of several packets' rows is not.
+  play(R"(
+    mysql-engines a
+    start
+    mysql m
+    send m query SELECT wide_6000000 FROM school_4.marks
+    expect m rows 1
+    send m query SELECT wide_17000000 FROM school_4.marks
+    expect m error 1153 more than
+    send m query SELECT rows_2 FROM school_4.marks
+    expect m rows 2)");
+}
+
+TEST_CASE("mysql: session state that engines can't share is refused, plainly") {
+  // Guards against wrong results: the next statement may run on another engine.
+  play(R"(
+    mysql-engines a b
+    start
+    mysql m
+    send m query BEGIN
+    expect m error 1235 transactions
+    send m query CREATE TEMPORARY TABLE t (a INT)
+    expect m error 1235 temporary
+    send m query SELECT GET_LOCK('x', 1)
+    expect m error 1235 lock
+    send m query SET @a = 1
+    expect m error 1235 variables
+    send m query SELECT LAST_INSERT_ID()
+    expect m error 1235 earlier
+    send m query SELECT 1; DROP TABLE x
+    expect m error 1235 several
+    send m command 1c0100000001000000
+    expect m error 1235 cursors
+    expect executed 0 T)");
+}
+
+TEST_CASE("mysql: a load is run once, whatever goes wrong") {
+  // 'full' never ran and may go on; 'cut' ran and must not.
+  play(R"(
+    mysql-engines a b
+    start
+    mysql m
+    send m query INSERT INTO school_4.marks VALUES ('cut')
+    expect m error 1105 may have run
+    send m query INSERT INTO school_4.marks VALUES ('full')
+    expect m error 3168 try again in
+    wait 300
+    expect executed 1 cut
+    expect executed 0 full
+    expect duplicates 0)");
+}
+
+TEST_CASE("mysql: a deadline is an error of its own") {
+  play(R"(
+    mysql-engines a
+    set /mysql/read_deadline_ms 400
+    set /mysql/load_deadline_ms 400
+    set /settings/grades/1/target 60000
+    start
+    mysql m
+    send m query SELECT sleep_3000 FROM school_4.marks
+    expect m error 3024 changed nothing
+    send m query INSERT INTO school_4.marks VALUES ('sleep_3000')
+    expect m error 3024 may have run
+    send m command 0e
+    expect m ok
+    expect executed 1 INSERT)");
+}
+
+TEST_CASE("mysql: prepared on an engine that drains before the execute") {
+  // The first hard case: the statement's id outlives the engine that gave it, the types bound there too.
+  play(R"(
+    mysql-engines a b
+    start
+    directory a=up
+    mysql m
+    send m prepare INSERT INTO school_4.marks VALUES (?)
+    expect m prepared
+    send m execute 1 first
+    expect m ok
+    directory a=draining b=up
+    wait 1700
+    send m again 1 second
+    expect m ok
+    expect prepared 2 INSERT
+    expect executed 1 <- first
+    expect executed 1 <- second
+    expect duplicates 0
+    send m command 19ffffffff
+    send m command 1affffffff
+    expect m error 1243)");
+}
+
+TEST_CASE("mysql: a client that vanishes halfway through a load") {
+  // The second hard case: the load runs to its end, once, and its engine serves on.
+  play(R"(
+    mysql-engines a b
+    start
+    mysql m
+    send m prepare INSERT INTO school_4.marks VALUES (?, 'sleep_400')
+    expect m prepared
+    send m prepare INSERT INTO school_4.marks VALUES (?)
+    expect m prepared
+    send m execute 2 before
+    expect m ok
+    send m query INSERT INTO school_4.marks VALUES ('gone', 'sleep_400')
+    expect executed 1 gone
+    close m
+    mysql n
+    send n query SELECT rows_1 FROM school_4.marks
+    expect n rows 1
+    wait 600
+    expect executed 1 gone
+    expect duplicates 0)");
+}
+
+TEST_CASE("mysql: long data is sent ahead, reset and sent again") {
+  play(R"(
+    mysql-engines a b
+    start
+    mysql m
+    send m prepare INSERT INTO school_4.marks VALUES (?)
+    expect m prepared
+    send m long 1 0 dropped
+    send m command 1a01000000
+    expect m ok
+    send m long 1 0 part one,
+    send m long 1 0  part two
+    send m execute 1 LONG
+    expect m ok
+    expect executed 1 <- part one,part two)");
+}
+
+TEST_CASE("mixed: both fronts on one core and the same engines, no load twice") {
+  play(R"(
+    mysql-engines a b
+    start
+    client c
+    mysql m
+    mysql n school_4
+    send m prepare INSERT INTO school_4.marks VALUES (?)
+    expect m prepared
+    send c request 1 load 5000 INSERT INTO school_4.marks VALUES ('frames', 'sleep_100')
+    send m execute 1 prepared
+    send n query INSERT INTO marks VALUES ('text')
+    send c request 2 lookup 3000 SELECT rows_2 FROM school_4.marks
+    expect m ok
+    expect n ok
+    send c request 3 load 5000 INSERT INTO school_5.marks VALUES ('cut by the engine')
+    send n query INSERT INTO marks VALUES ('cut as well')
+    expect n error 1105 may have run
+    send m execute 1 after
+    expect m ok
+    expect executed 1 'frames'
+    expect executed 1 'text'
+    expect executed 1 <- prepared
+    expect executed 1 <- after
+    expect executed 1 cut by
+    expect executed 1 cut as
+    wait 300
+    expect duplicates 0)");
+}
+
+TEST_CASE("the count of duplicate loads would catch one") {
+  // A check that can't fail proves nothing: the same load asked for twice is counted.
+  play(R"(
+    mysql-engines a b
+    start
+    mysql m
+    send m query INSERT INTO school_4.marks VALUES ('again')
+    expect m ok
+    send m query INSERT INTO school_4.marks VALUES ('again')
+    expect m ok
+    expect duplicates 1)");
+}
