Add the agent and its command-line tool: start, drain, restart with backoff, status

rookproxy-agent keeps the instances of one machine and takes orders on a Unix socket; rookproxyctl gives them, with exit codes of their own. Tested as real processes: restarts with a growing pause, kills after the drain's time, signals not inherited, bad requests, a second agent on the same socket.

--- /dev/null
+++ b/src/agent/supervisor.h
@@ -0,0 +1,68 @@
+// Keeps local instances: starts them, drains them, starts them again after a pause that grows.
+#pragma once
+
+#include <sys/types.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "config/agent_config.h"
+#include "net/loop.h"
+
+namespace rookproxy {
+
+class Supervisor {
+ public:
+  enum class State { kStopped, kRunning, kDraining, kWaiting };  // waiting: for its next start
+  struct Status {
+    std::string name;
+    State state = State::kStopped;
+    pid_t process = 0;
+    int restarts = 0;       // that nobody asked for
+    std::string last_exit;  // 'exit 2', 'signal 9'; empty: never
+    Duration since{};       // in this state
+  };
+
+  Supervisor(Loop& loop, Log& log, const AgentConfig& config);
+  ~Supervisor();
+
+  void start_all();
+  // Each says what is wrong, or nothing.
+  std::string start(const std::string& name);
+  std::string drain(const std::string& name);
+  std::string restart(const std::string& name);
+  // Drains all; calls back once none is left.
+  void shut_down(std::function<void()> done);
+  std::vector<Status> status() const;
+  // To be called on SIGCHLD.
+  void reap();
+
+ private:
+  struct Instance {
+    InstanceConfig config;
+    State state = State::kStopped;
+    pid_t process = 0;
+    bool start_again = false;  // once it has drained
+    int restarts = 0;
+    Duration pause{};
+    Time since, started;
+    std::string last_exit;
+    TimerKey timer{};
+  };
+  Instance* find(const std::string& name);
+  void enter(Instance& instance, State state);
+  void spawn(Instance& instance);
+  void ended(Instance& instance, int status);
+  void terminate(Instance& instance);
+
+  Loop& loop_;
+  Log& log_;
+  AgentConfig config_;
+  std::vector<Instance> instances_;
+  std::function<void()> all_gone_;
+};
+
+std::string_view state_text(Supervisor::State state);
+
+}  // namespace rookproxy
--- /dev/null
+++ b/src/config/agent_config.cpp
@@ -0,0 +1,69 @@
+#include "config/agent_config.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "config/reader.h"
+
+namespace rookproxy {
+namespace {
+
+InstanceConfig read_instance(const Reader& reader) {
+  reader.only({"name", "command", "environment", "autostart"});
+  InstanceConfig instance;
+  instance.name = reader.text("name");
+  const bool plain =
+      !instance.name.empty() && std::all_of(instance.name.begin(), instance.name.end(), [](char c) {
+        return std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.';
+      });
+  if (!plain)
+    throw ConfigError(reader.path("name"),
+                      "only letters, digits, '-', '_' and '.' ('" + instance.name + "')");
+  for (const auto& word : reader.need("command")) {
+    if (!word.is_string()) throw ConfigError(reader.path("command"), "not a list of texts");
+    instance.command.push_back(word.get<std::string>());
+  }
+  if (instance.command.empty()) throw ConfigError(reader.path("command"), "empty");
+  if (reader.has("environment")) {
+    const Reader environment = reader.table("environment");
+    for (const auto& [name, value] : environment.json().items())
+      instance.environment[name] = environment.text(name);
+  }
+  if (reader.has("autostart")) {
+    if (!reader.need("autostart").is_boolean())
+      throw ConfigError(reader.path("autostart"), "neither true nor false");
+    instance.autostart = reader.need("autostart").get<bool>();
+  }
+  return instance;
+}
+
+}  // namespace
+
+AgentConfig read_agent_config(const nlohmann::json& document) {
+  const Reader reader(document, "");
+  reader.only(
+      {"socket", "backoff_first_ms", "backoff_most_ms", "steady_ms", "stop_within_ms", "instances", "log"});
+  AgentConfig config;
+  config.socket = reader.text("socket");
+  config.backoff_first = reader.milliseconds_or("backoff_first_ms", config.backoff_first, 1);
+  config.backoff_most = reader.milliseconds_or("backoff_most_ms", config.backoff_most, 1);
+  if (config.backoff_most < config.backoff_first)
+    throw ConfigError("backoff_most_ms", "less than backoff_first_ms");
+  config.steady = reader.milliseconds_or("steady_ms", config.steady, 1);
+  config.stop_within = reader.milliseconds_or("stop_within_ms", config.stop_within, 1);
+  std::set<std::string> names;
+  std::size_t number = 0;
+  for (const auto& entry : reader.need("instances")) {
+    const std::string path = "instances." + std::to_string(number++);
+    config.instances.push_back(read_instance(Reader(entry, path)));
+    if (!names.insert(config.instances.back().name).second) throw ConfigError(path + ".name", "used twice");
+  }
+  if (config.instances.empty()) throw ConfigError("instances", "none");
+  if (reader.has("log")) config.log = read_log_config(reader.table("log"));
+  return config;
+}
+
+AgentConfig load_agent_config(const std::string& path) { return read_agent_config(read_toml(path)); }
+
+}  // namespace rookproxy
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -129,17 +129,19 @@
   config.mysql = std::move(front);
 }
 
-void read_log(const Reader& log, Config& config) {
+}  // namespace
+
+LogConfig read_log_config(const Reader& log) {
   log.only({"level", "syslog", "facility"});
+  LogConfig config;
   const auto level = level_named(log.text_or("level", "info"));
   if (!level) throw ConfigError(log.path("level"), "not one of error, warning, notice, info, debug");
-  config.log_level = *level;
+  config.level = *level;
   if (log.has("syslog")) config.syslog = log.endpoint("syslog");
-  config.syslog_facility = static_cast<int>(log.whole_or("facility", 16, 0, 23));
+  config.facility = static_cast<int>(log.whole_or("facility", 16, 0, 23));
+  return config;
 }
 
-}  // namespace
-
 std::string read_file(const std::string& path) {
   std::ifstream in(path, std::ios::binary);
   std::ostringstream text;
@@ -219,7 +221,7 @@
       throw ConfigError("link", "the MySQL front needs engines that speak MySQL");
     read_mysql(reader.table("mysql"), config);
   }
-  if (reader.has("log")) read_log(reader.table("log"), config);
+  if (reader.has("log")) config.log = read_log_config(reader.table("log"));
   if (!config.listen && !config.mysql) throw ConfigError("listen", "missing, and there is no other front");
   if (config.known.empty() && !config.nameserver)
     throw ConfigError("engines", "no engines and no nameserver");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -32,6 +32,12 @@
   std::string user, password, schema;
 };
 
+struct LogConfig {
+  Level level = Level::kInfo;
+  std::optional<Endpoint> syslog;
+  int facility = 16;  // local0
+};
+
 struct Config {
   std::string name = "rookproxy";
   std::optional<Endpoint> listen;  // the platform's front
@@ -50,9 +56,7 @@
   LinkKind link = LinkKind::kLines;
   MysqlLinkConfig mysql_link;
   std::optional<MysqlFrontConfig> mysql;
-  Level log_level = Level::kInfo;
-  std::optional<Endpoint> syslog;
-  int syslog_facility = 16;
+  LogConfig log;
 };
 
 // `platform` is the path of the platform's JSON file, `operators` that of an operator's TOML file; either may
--- a/src/config/reader.h
+++ b/src/config/reader.h
@@ -1,6 +1,7 @@
 // Reading one JSON document by key, with errors that name the key at fault.
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -69,4 +70,6 @@
   std::string path_;
 };
 
+LogConfig read_log_config(const Reader& log);
+
 }  // namespace rookproxy
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,183 @@
+// rookproxyctl: orders for a running agent, from the command line.
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <iomanip>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "net/fd.h"
+
+namespace {
+
+using nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::string_view kHelp =
+    "usage: rookproxyctl [options] status|start|drain|restart [NAME ...]\n"
+    "       rookproxyctl [options] shutdown\n"
+    "\n"
+    "Without names, an order is for all instances.\n"
+    "  status     what each instance does; exits 5 if one of them does not run\n"
+    "  start      starts what does not run\n"
+    "  drain      lets it finish what it has, then stops it\n"
+    "  restart    drains, then starts\n"
+    "  shutdown   drains all and ends the agent\n"
+    "\n"
+    "  --socket PATH  the agent's socket (default $ROOKPROXY_AGENT, else /run/rookproxy/agent.sock)\n"
+    "  --wait         returns once the order is carried out, not only taken\n"
+    "  --timeout S    gives up after so many seconds (default 60)\n"
+    "  --json         prints the agent's answer as it is\n"
+    "  --help         this text\n"
+    "\n"
+    "Exit codes: 0 done, 1 the agent refused, 2 bad usage, 3 no agent there, 4 not in time, 5 not all run.\n";
+
+enum Exit { kDone = 0, kRefused = 1, kUsage = 2, kNoAgent = 3, kNotInTime = 4, kNotRunning = 5 };
+
+struct Options {
+  std::string socket, order;
+  std::vector<std::string> names;
+  bool wait = false, as_json = false;
+  std::chrono::seconds timeout{60};
+};
+
+bool wait_for(const rookproxy::Fd& fd, short what, Clock::time_point until) {
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(until - Clock::now()).count();
+  pollfd one{fd.get(), what, 0};
+  return left > 0 && ::poll(&one, 1, static_cast<int>(left)) > 0;
+}
+
+// One question, one answer; nothing if there is no agent (`late`: or it did not answer in time).
+std::optional<json> ask(const Options& options, const std::string& order, Clock::time_point until,
+                        bool& late) {
+  const rookproxy::Fd fd = rookproxy::connect_unix(options.socket);
+  if (!fd) return std::nullopt;
+  json question{{"do", order}};
+  if (!options.names.empty()) question["names"] = options.names;
+  const std::string line = question.dump() + "\n";
+  if (::send(fd.get(), line.data(), line.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(line.size()))
+    return std::nullopt;
+  std::string answer;
+  while (answer.find('\n') == std::string::npos) {
+    if (!wait_for(fd, POLLIN, until)) {
+      late = true;
+      return std::nullopt;
+    }
+    char bytes[4096];
+    const ssize_t got = ::recv(fd.get(), bytes, sizeof bytes, 0);
+    if (got <= 0) return std::nullopt;
+    answer.append(bytes, static_cast<std::size_t>(got));
+  }
+  const json read = json::parse(answer, nullptr, false);
+  if (!read.is_object()) return std::nullopt;
+  return read;
+}
+
+void print(const json& answer, bool as_json) {
+  if (as_json) {
+    std::cout << answer.dump() << "\n";
+    return;
+  }
+  std::cout << std::left << std::setw(20) << "NAME" << std::setw(10) << "STATE" << std::setw(10) << "PID"
+            << std::setw(10) << "RESTARTS" << std::setw(12) << "FOR (s)"
+            << "LAST EXIT\n";
+  for (const auto& one : answer.value("instances", json::array())) {
+    const long pid = one.value("pid", 0L);
+    const std::string last = one.value("last_exit", "");
+    std::cout << std::left << std::setw(20) << one.value("name", "") << std::setw(10)
+              << one.value("state", "") << std::setw(10) << (pid > 0 ? std::to_string(pid) : "-")
+              << std::setw(10) << one.value("restarts", 0) << std::setw(12)
+              << one.value("since_ms", 0L) / 1000 << (last.empty() ? "-" : last) << "\n";
+  }
+}
+
+bool all_in(const json& answer, const std::string& state) {
+  const json instances = answer.value("instances", json::array());
+  return std::all_of(instances.begin(), instances.end(),
+                     [&](const json& one) { return one.value("state", "") == state; });
+}
+
+int usage(const std::string& why) {
+  std::cerr << "rookproxyctl: " << why << "\n" << kHelp;
+  return kUsage;
+}
+
+int run(const Options& options) {
+  const auto until = Clock::now() + options.timeout;
+  bool late = false;
+  auto answer = ask(options, options.order, until, late);
+  const auto unreachable = [&] {
+    std::cerr << "rookproxyctl: " << (late ? "no answer in time from " : "no agent at ") << options.socket
+              << "\n";
+    return late ? kNotInTime : kNoAgent;
+  };
+  if (!answer) return unreachable();
+  if (!answer->value("ok", false)) {
+    std::cerr << "rookproxyctl: " << answer->value("error", "refused") << "\n";
+    return kRefused;
+  }
+  const std::string goal = options.order == "start" || options.order == "restart" ? "running" : "stopped";
+  while (options.wait && options.order != "status") {
+    if (options.order == "shutdown" ? !answer : all_in(*answer, goal)) break;
+    if (Clock::now() >= until) {
+      std::cerr << "rookproxyctl: not carried out in time\n";
+      return kNotInTime;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    answer = ask(options, "status", until, late);
+    if (!answer && options.order != "shutdown") return unreachable();
+  }
+  if (answer) print(*answer, options.as_json);
+  return options.order == "status" && !all_in(*answer, "running") ? kNotRunning : kDone;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Options options;
+  const char* from_environment = std::getenv("ROOKPROXY_AGENT");
+  options.socket = from_environment ? from_environment : "/run/rookproxy/agent.sock";
+  for (int i = 1; i < argc; ++i) {
+    const std::string word = argv[i];
+    if (word == "--help") {
+      std::cout << kHelp;
+      return kDone;
+    }
+    if (word == "--wait") {
+      options.wait = true;
+    } else if (word == "--json") {
+      options.as_json = true;
+    } else if (word == "--socket" || word == "--timeout") {
+      if (i + 1 == argc) return usage(word + " needs a value");
+      const std::string value = argv[++i];
+      if (word == "--socket") {
+        options.socket = value;
+      } else {
+        const int seconds = std::atoi(value.c_str());
+        if (seconds < 1 || seconds > 86400)
+          return usage("--timeout: not a number of seconds ('" + value + "')");
+        options.timeout = std::chrono::seconds(seconds);
+      }
+    } else if (word.starts_with("--")) {
+      return usage("unknown option '" + word + "'");
+    } else if (options.order.empty()) {
+      options.order = word;
+    } else {
+      options.names.push_back(word);
+    }
+  }
+  constexpr std::string_view kOrders[] = {"status", "start", "drain", "restart", "shutdown"};
+  if (options.order.empty()) return usage("no order");
+  if (std::find(std::begin(kOrders), std::end(kOrders), options.order) == std::end(kOrders)) {
+    return usage("unknown order '" + options.order + "'");
+  }
+  if (options.order == "shutdown" && !options.names.empty()) return usage("shutdown takes no names");
+  return run(options);
+}
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -52,8 +52,8 @@
       return 0;
     }
     log.set_host(config.name);
-    log.set_least(config.log_level);
-    if (config.syslog) log.to_syslog(*config.syslog, config.syslog_facility);
+    log.set_least(config.log.level);
+    if (config.log.syslog) log.to_syslog(*config.log.syslog, config.log.facility);
     Loop loop;
     App app(loop, log, config);
     Signals signals(loop, {SIGTERM, SIGINT}, [&app](int) { app.drain(); });
--- /dev/null
+++ b/tests/dispatch/agent.cpp
@@ -0,0 +1,188 @@
+// The agent and its command-line tool, as real processes.
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "config/agent_config.h"
+#include "standins.h"
+
+using namespace rookproxy;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Run {
+  int code = 0;
+  std::string out;
+};
+
+Run run(const std::string& command) {
+  Run result;
+  FILE* pipe = ::popen((command + " 2>&1").c_str(), "r");
+  char bytes[4096];
+  while (const std::size_t got = std::fread(bytes, 1, sizeof bytes, pipe)) result.out.append(bytes, got);
+  result.code = WEXITSTATUS(::pclose(pipe));
+  return result;
+}
+
+class Agent {
+ public:
+  explicit Agent(const std::string& instances) {
+    std::string path = "/tmp/rookproxy-agent-XXXXXX";
+    REQUIRE(::mkdtemp(path.data()) != nullptr);
+    folder_ = path;
+    std::ofstream(folder_ + "/agent.toml")
+        << "socket = \"" << socket() << "\"\nbackoff_first_ms = 20\n"
+        << "backoff_most_ms = 100\nsteady_ms = 60000\nstop_within_ms = 500\n"
+        << instances;
+    pid_ = ::fork();
+    if (pid_ == 0) {
+      if (!std::freopen((folder_ + "/log").c_str(), "w", stderr)) ::_exit(99);
+      ::execl(ROOKPROXY_AGENT, "rookproxy-agent", "--file", (folder_ + "/agent.toml").c_str(), nullptr);
+      ::_exit(99);
+    }
+    const auto until = std::chrono::steady_clock::now() + test::kPatience;
+    while (ctl("status").code == 3 && std::chrono::steady_clock::now() < until) ::usleep(10'000);
+  }
+  ~Agent() {
+    if (pid_ > 0) {
+      ::kill(pid_, SIGKILL);
+      ::waitpid(pid_, nullptr, 0);
+    }
+    run("rm -r " + folder_);
+  }
+  std::string socket() const { return folder_ + "/socket"; }
+  Run ctl(const std::string& order) const {
+    return run(std::string(ROOKPROXY_CTL) + " --socket " + socket() + " --timeout 20 " + order);
+  }
+  nlohmann::json status(const std::string& name) const {
+    return nlohmann::json::parse(ctl("--json status " + name).out)["instances"][0];
+  }
+  bool until(const std::string& name, const std::string& key, const nlohmann::json& least) const {
+    const auto end = std::chrono::steady_clock::now() + test::kPatience;
+    while (std::chrono::steady_clock::now() < end) {
+      const auto value = status(name)[key];
+      if (value == least || (value.is_number() && value >= least)) return true;
+      ::usleep(10'000);
+    }
+    return false;
+  }
+  int wait() {
+    int status = 0;
+    ::waitpid(std::exchange(pid_, 0), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  std::string folder() const { return folder_; }
+
+ private:
+  std::string folder_;
+  pid_t pid_ = 0;
+};
+
+std::string instance(const std::string& name, const std::string& command, bool autostart = true) {
+  return "[[instances]]\nname = \"" + name + "\"\ncommand = [" + command +
+         "]\nautostart = " + (autostart ? "true" : "false") + "\n";
+}
+
+}  // namespace
+
+TEST_CASE("agent: starts, drains, restarts and tells of its instances") {
+  Agent agent(instance("n1", R"("sleep", "1000")") + instance("n2", R"("sleep", "1000")", false));
+  CHECK(agent.ctl("status n1").code == 0);
+  CHECK(agent.ctl("status").code == 5);  // n2 is not started by itself
+  CHECK(agent.ctl("--wait start n2").code == 0);
+  CHECK(agent.ctl("status").code == 0);
+  const auto first = agent.status("n1")["pid"];
+  CHECK(agent.ctl("--wait restart n1").code == 0);
+  CHECK(agent.status("n1")["pid"] != first);
+  CHECK(agent.ctl("--wait drain n1").code == 0);
+  CHECK(agent.status("n1")["state"] == "stopped");
+  CHECK(agent.status("n1")["restarts"] == 0);
+  CHECK(agent.status("n2")["state"] == "running");
+  CHECK(agent.ctl("--wait shutdown").code == 0);
+  CHECK(agent.wait() == 0);
+  CHECK(agent.ctl("status").code == 3);
+}
+
+TEST_CASE("agent: what ends by itself is started again, each time after a longer pause") {
+  Agent agent(instance("flaky", R"("sh", "-c", "exit 7")") + instance("missing", R"("/no/such/program")"));
+  CHECK(agent.until("flaky", "restarts", 3));
+  CHECK(agent.status("flaky")["last_exit"] == "exit 7");
+  CHECK(agent.until("missing", "last_exit", "exit 127"));
+  CHECK(agent.ctl("--wait drain").code == 0);  // also while it waits for its next start
+  CHECK(agent.status("flaky")["state"] == "stopped");
+}
+
+TEST_CASE("agent: what does not drain in time is killed") {
+  // Guards against an instance that would hold up a shutdown for ever.
+  Agent agent(instance("deaf", R"('sh', '-c', 'trap "" TERM; while :; do sleep 0.05; done')"));
+  CHECK(agent.ctl("status").code == 0);
+  ::usleep(200'000);  // until the trap is set; were it not, the exit below would be 'signal 15'
+  CHECK(agent.ctl("--wait drain deaf").code == 0);
+  CHECK(agent.status("deaf")["last_exit"] == "signal 9");
+}
+
+TEST_CASE("agent: SIGCHLD and SIGTERM reach children and agent as they should") {
+  // Guards against children that inherit the agent's blocked signals and so can't be drained.
+  Agent agent(instance("n1", R"("sh", "-c", "kill -TERM $$; sleep 1000")"));
+  CHECK(agent.until("n1", "restarts", 1));
+  CHECK(agent.status("n1")["last_exit"] == "signal 15");
+}
+
+TEST_CASE("agent: bad requests are answered and a second agent keeps off the socket") {
+  Agent agent(instance("n1", R"("sleep", "1000")"));
+  CHECK(agent.ctl("drain n1 nobody").code == 1);
+  CHECK(agent.status("n1")["state"] == "running");  // one wrong name: none is acted on
+  for (const std::string bad :
+       {"", "{", "[1]", "{\"do\":7}", "{\"do\":\"status\",\"names\":3}", "\xff\xfe"}) {
+    test::Peer peer(connect_unix(agent.socket()));
+    peer.send(bad + "\n");
+    REQUIRE(peer.has(1));
+    CHECK(peer.buffer().find("\"ok\":false") != std::string::npos);
+  }
+  const Run second = run(std::string(ROOKPROXY_AGENT) + " --file " + agent.folder() + "/agent.toml");
+  CHECK(second.code == 2);
+  CHECK(second.out.find("belongs to a running agent") != std::string::npos);
+  CHECK(agent.ctl("status").code == 0);
+}
+
+TEST_CASE("ctl: exit codes and help") {
+  const std::string ctl = ROOKPROXY_CTL;
+  CHECK(run(ctl + " --help").code == 0);
+  CHECK(run(ctl + " --help").out.find("Exit codes") != std::string::npos);
+  CHECK(run(ctl).code == 2);
+  CHECK(run(ctl + " dance").code == 2);
+  CHECK(run(ctl + " --timeout x status").code == 2);
+  CHECK(run(ctl + " --socket /no/such/socket status").code == 3);
+  CHECK(run(std::string(ROOKPROXY_BINARY) + " --nonsense").code == 2);
+}
+
+TEST_CASE("agent: faults in its file name their key") {
+  const auto fault_of = [](const char* text) -> std::string {
+    try {
+      read_agent_config(nlohmann::json::parse(text));
+    } catch (const ConfigError& fault) {
+      return fault.what();
+    }
+    return "";
+  };
+  CHECK(fault_of(R"({"socket":"s","instances":[{"name":"a","command":["x"]}]})").empty());
+  CHECK(fault_of(R"({"instances":[]})") == "socket: missing");
+  CHECK(fault_of(R"({"socket":"s","instances":[]})") == "instances: none");
+  CHECK(fault_of(R"({"socket":"s","instances":[{"name":"a b","command":["x"]}]})")
+            .starts_with("instances.0.name: "));
+  CHECK(fault_of(R"({"socket":"s","instances":[{"name":"a","command":[]}]})") ==
+        "instances.0.command: empty");
+  CHECK(
+      fault_of(R"({"socket":"s","instances":[{"name":"a","command":["x"]},{"name":"a","command":["x"]}]})") ==
+      "instances.1.name: used twice");
+  CHECK(fault_of(R"({"socket":"s","backoff_most_ms":1,"instances":[]})").starts_with("backoff_most_ms: "));
+  CHECK(load_agent_config(ROOKPROXY_ROOT "/deploy/agent.toml").instances.size() == 1);
+}
