--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,9 +1,9 @@
 // rookproxy-agent: keeps the dispatchers of one machine. See README.md.
 #include <csignal>
-#include <iostream>
-#include <string>
+#include <string_view>
 
 #include "agent/server.h"
+#include "app/options.h"
 #include "net/signals.h"
 
 namespace {
@@ -23,36 +23,10 @@
 
 int main(int argc, char** argv) {
   using namespace rookproxy;
-  std::string file;
-  bool check = false;
-  for (int i = 1; i < argc; ++i) {
-    const std::string_view word = argv[i];
-    if (word == "--help") {
-      std::cout << kHelp;
-      return 0;
-    }
-    if (word == "--check") {
-      check = true;
-    } else if (word == "--file" && i + 1 < argc) {
-      file = argv[++i];
-    } else {
-      std::cerr << "rookproxy-agent: unknown argument '" << word << "'\n" << kHelp;
-      return 2;
-    }
-  }
-  if (file.empty()) {
-    std::cerr << "rookproxy-agent: --file is missing\n" << kHelp;
-    return 2;
-  }
-  Log log(std::cerr, Level::kInfo, "-", "rookproxy-agent");
-  try {
-    const AgentConfig config = load_agent_config(file);
-    if (check) {
-      std::cout << "configuration is fine\n";
-      return 0;
-    }
-    log.set_least(config.log.level);
-    if (config.log.syslog) log.to_syslog(*config.log.syslog, config.log.facility);
+  return run_program(argc, argv, "rookproxy-agent", kHelp, true, [](const ProgramOptions& options, Log& log) {
+    const AgentConfig config = load_agent_config(options.file);
+    if (options.check) return report_fine();
+    configure_log(log, config.log);
     Loop loop;
     Supervisor supervisor(loop, log, config);
     const auto shut_down = [&] { supervisor.shut_down([&loop] { loop.stop(); }); };
@@ -61,12 +35,6 @@
     AgentServer server(loop, log, config.socket, supervisor, shut_down);
     supervisor.start_all();
     loop.run();
-    return 0;
-  } catch (const ConfigError& fault) {
-    log.line(Level::kError, "config", fault.what(), {});
-    return 2;
-  } catch (const std::exception& fault) {
-    log.line(Level::kError, "crash", fault.what(), {});
-    return 1;
-  }
+    return int(kExitDone);
+  });
 }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,12 +1,12 @@
 #include "config/config.h"
 
 #include <toml++/toml.h>
-#include <charconv>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
 #include "config/reader.h"
+#include "core/numbers.h"
 #include "wire.h"
 
 namespace rookproxy {
@@ -186,9 +186,9 @@
   if (reader.has("listen")) config.listen = reader.endpoint("listen");
   if (reader.has("seed")) {
     const std::string seed = reader.text("seed");
-    const auto end = seed.data() + seed.size();
-    const auto [stop, fault] = std::from_chars(seed.data(), end, config.seed, 16);
-    if (fault != std::errc() || stop != end) throw ConfigError("seed", "not hex digits ('" + seed + "')");
+    const auto read = parse_number<std::uint64_t>(seed, 16);
+    if (!read) throw ConfigError("seed", "not hex digits ('" + seed + "')");
+    config.seed = *read;
   }
   if (reader.has("limits")) {
     const Reader limits = reader.table("limits");
--- /dev/null
+++ b/src/core/numbers.h
@@ -0,0 +1,27 @@
+// Numbers from text: the whole text or nothing, and nothing that is not finite.
+#pragma once
+
+#include <charconv>
+#include <cmath>
+#include <optional>
+#include <string_view>
+#include <type_traits>
+
+namespace rookproxy {
+
+template <class T>
+std::optional<T> parse_number(std::string_view text, int base = 10) {
+  T value{};
+  const auto end = text.data() + text.size();
+  std::from_chars_result result{};
+  if constexpr (std::is_floating_point_v<T>) {
+    result = std::from_chars(text.data(), end, value);
+    if (!std::isfinite(value)) return std::nullopt;
+  } else {
+    result = std::from_chars(text.data(), end, value, base);
+  }
+  if (result.ec != std::errc() || result.ptr != end) return std::nullopt;
+  return value;
+}
+
+}  // namespace rookproxy
--- a/src/directory/dns.cpp
+++ b/src/directory/dns.cpp
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
 #include <map>
 
+#include "core/numbers.h"
+
 namespace rookproxy {
 namespace {
 
@@ -82,13 +83,11 @@
 }
 
 std::int64_t whole_or(const std::map<std::string, std::string>& texts, const std::string& key) {
-  std::int64_t value = 0;
-  if (const auto found = texts.find(key); found != texts.end()) {
-    const auto& text = found->second;
-    const auto [stop, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (fault != std::errc() || stop != text.data() + text.size() || value < 0) throw Broken();
-  }
-  return value;
+  const auto found = texts.find(key);
+  if (found == texts.end()) return 0;
+  const auto value = parse_number<std::int64_t>(found->second);
+  if (!value || *value < 0) throw Broken();
+  return *value;
 }
 
 Member make_member(const Service& service, const Host& host) {
--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -1,10 +1,10 @@
 #include "front/frames.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <set>
 
+#include "core/numbers.h"
 #include "sql/lexer.h"
 
 namespace rookproxy {
@@ -88,18 +88,9 @@
 
 constexpr Duration kLinger = std::chrono::milliseconds(300);
 
-template <class T>
-std::optional<T> number(std::string_view text) {
-  T value{};
-  const auto end = text.data() + text.size();
-  const auto [stop, fault] = std::from_chars(text.data(), end, value);
-  if (fault != std::errc() || stop != end) return std::nullopt;
-  return value;
-}
-
 std::optional<double> amount(std::string_view text) {
-  const auto value = number<double>(text);
-  if (!value || !std::isfinite(*value) || *value < 0) return std::nullopt;
+  const auto value = parse_number<double>(text);
+  if (!value || *value < 0) return std::nullopt;
   return value;
 }
 
@@ -250,7 +241,7 @@
     if (!call || !is_call_id(*call)) return reject(frame.stream, "field call: not 16 hex digits");
     const auto cls = op ? front_.core_.class_named(*op) : std::nullopt;
     if (!cls) return reject(frame.stream, "field op: unknown class");
-    const auto ttl = ttl_text ? number<std::uint32_t>(*ttl_text) : std::nullopt;
+    const auto ttl = ttl_text ? parse_number<std::uint32_t>(*ttl_text) : std::nullopt;
     if (!ttl || *ttl == 0) return reject(frame.stream, "field ttl: not a positive number of milliseconds");
     std::optional<double> work, memory;
     if (const auto text = field("work")) {
--- a/src/link/lines.cpp
+++ b/src/link/lines.cpp
@@ -1,9 +1,10 @@
 #include "link/lines.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 
+#include "core/numbers.h"
+
 namespace rookproxy {
 namespace {
 
@@ -12,22 +13,6 @@
 constexpr std::size_t kLongestLine = 4096, kLongestBody = 64 * 1024;
 constexpr std::size_t kMostPages = 64;
 
-std::optional<std::size_t> whole(std::string_view text) {
-  std::size_t value = 0;
-  const auto end = text.data() + text.size();
-  const auto [stop, fault] = std::from_chars(text.data(), end, value);
-  if (fault != std::errc() || stop != end) return std::nullopt;
-  return value;
-}
-
-std::optional<double> number(std::string_view text) {
-  double value = 0;
-  const auto end = text.data() + text.size();
-  const auto [stop, fault] = std::from_chars(text.data(), end, value);
-  if (fault != std::errc() || stop != end || !std::isfinite(value)) return std::nullopt;
-  return value;
-}
-
 template <class Visit>
 void each_part(std::string_view text, char at, Visit visit) {
   while (!text.empty()) {
@@ -55,7 +40,7 @@
     rest.remove_prefix(space + 1);
   }
   if (count != 4) return LineParse::kBroken;
-  const auto length = whole(words[3]);
+  const auto length = parse_number<std::size_t>(words[3]);
   if (!length || *length > kLongestBody) return LineParse::kBroken;
   const std::size_t body = line_end + 2;
   if (bytes.size() < body + *length + 2) return LineParse::kMore;
@@ -81,7 +66,7 @@
     const auto colon = part.find(':');
     if (colon == part.npos) return;
     const auto name = part.substr(0, colon);
-    const auto value = number(part.substr(colon + 1));
+    const auto value = parse_number<double>(part.substr(colon + 1));
     if (!value) return;
     any = true;
     // The settings and the sockets may word a value differently; both words are known.
@@ -203,7 +188,7 @@
   if (answer.word == "data") {
     if (!open.pages.empty()) return end(id, Outcome::kError, "two results for one query");
     const auto parts = line_field(answer.fields, "parts");
-    const auto count = parts ? whole(*parts) : 1;
+    const auto count = parts ? parse_number<std::size_t>(*parts) : std::size_t{1};
     if (!count || *count == 0 || *count > kMostPages)
       return end(id, Outcome::kError, "unreadable page count");
     open.pages.resize(*count);
@@ -215,13 +200,13 @@
     take_page(id, open, 0, answer.body);
   } else if (answer.word == "page") {
     const auto part = line_field(answer.fields, "part_no");
-    const auto page = part ? whole(*part) : std::nullopt;
+    const auto page = part ? parse_number<std::size_t>(*part) : std::nullopt;
     if (!page || *page >= open.pages.size()) return end(id, Outcome::kError, "a page that was not asked for");
     take_page(id, open, *page, answer.body);
   } else if (answer.word == "news") {
     const auto detail = line_field(answer.fields, "detail");
     const auto value = line_field(answer.fields, "value");
-    const double amount = value ? number(*value).value_or(0) : 0;
+    const double amount = value ? parse_number<double>(*value).value_or(0) : 0;
     if (!detail) return;
     if (*detail == "frac") note(open.attempt, NoteKind::kProgress, amount);
     if (*detail == "missing") note(open.attempt, NoteKind::kSpills, amount);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,10 +3,10 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <iostream>
-#include <string>
+#include <string_view>
 
 #include "app/app.h"
+#include "app/options.h"
 #include "net/signals.h"
 
 namespace {
@@ -26,46 +26,18 @@
 
 int main(int argc, char** argv) {
   using namespace rookproxy;
-  std::string operators;
-  bool check = false;
-  for (int i = 1; i < argc; ++i) {
-    const std::string_view word = argv[i];
-    if (word == "--help") {
-      std::cout << kHelp;
-      return 0;
-    }
-    if (word == "--check") {
-      check = true;
-    } else if (word == "--file" && i + 1 < argc) {
-      operators = argv[++i];
-    } else {
-      std::cerr << "rookproxy: unknown argument '" << word << "'\n" << kHelp;
-      return 2;
-    }
-  }
-  const char* platform = std::getenv("NODE_CONFIG");
-  Log log(std::cerr, Level::kInfo, "-", "rookproxy");
-  try {
-    const Config config = load_config(platform ? platform : "", operators);
-    if (check) {
-      std::cout << "configuration is fine\n";
-      return 0;
-    }
+  return run_program(argc, argv, "rookproxy", kHelp, false, [](const ProgramOptions& options, Log& log) {
+    const char* platform = std::getenv("NODE_CONFIG");
+    const Config config = load_config(platform ? platform : "", options.file);
+    if (options.check) return report_fine();
     log.set_host(config.name);
-    log.set_least(config.log.level);
-    if (config.log.syslog) log.to_syslog(*config.log.syslog, config.log.facility);
+    configure_log(log, config.log);
     Loop loop;
     App app(loop, log, config);
     Signals signals(loop, {SIGTERM, SIGINT}, [&app](int) { app.drain(); });
     loop.run();
     // Connections still open are closed by the kernel; taking the tables down one by one would serve nobody.
     std::cerr.flush();
-    ::_exit(0);
-  } catch (const ConfigError& fault) {
-    log.line(Level::kError, "config", fault.what(), {});
-    return 2;
-  } catch (const std::exception& fault) {
-    log.line(Level::kError, "crash", fault.what(), {});
-    return 1;
-  }
+    ::_exit(kExitDone);
+  });
 }
--- a/src/net/fd.cpp
+++ b/src/net/fd.cpp
@@ -8,9 +8,10 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 
+#include "core/numbers.h"
+
 namespace rookproxy {
 namespace {
 
@@ -71,10 +72,9 @@
   in_addr address{};
   if (::inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &address) != 1) return std::nullopt;
   endpoint.ip = ntohl(address.s_addr);
-  const auto digits = text.substr(colon + 1);
-  const auto end = digits.data() + digits.size();
-  const auto [stop, fault] = std::from_chars(digits.data(), end, endpoint.port);
-  if (fault != std::errc() || stop != end) return std::nullopt;
+  const auto port = parse_number<std::uint16_t>(text.substr(colon + 1));
+  if (!port) return std::nullopt;
+  endpoint.port = *port;
   return endpoint;
 }
 
--- a/src/sql/lexer.cpp
+++ b/src/sql/lexer.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <charconv>
+
+#include "core/numbers.h"
 
 namespace rookproxy::sql {
 namespace {
@@ -45,12 +46,7 @@
 std::optional<std::uint64_t> group_in(std::string_view schema) {
   const auto underscore = schema.rfind('_');
   if (underscore == schema.npos) return std::nullopt;
-  const auto digits = schema.substr(underscore + 1);
-  std::uint64_t value = 0;
-  const auto end = digits.data() + digits.size();
-  const auto [stop, fault] = std::from_chars(digits.data(), end, value);
-  if (fault != std::errc() || stop != end) return std::nullopt;
-  return value;
+  return parse_number<std::uint64_t>(schema.substr(underscore + 1));
 }
 
 constexpr std::array<std::string_view, 7> kBeforeTables{"FROM",  "JOIN",   "INTO",   "UPDATE",
