Wait, after SIGTERM, for loads whose clients have left

Found by reading: 'idle' counted requests without an answer, so a load whose client was gone did not hold the program up, and its end closed the engine's connection, which abandons what runs there. src/core/dispatcher.h, open_requests, now counts all that still runs; attempts end by their deadlines, so the wait is bounded. A scenario plays it.

--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -38,7 +38,8 @@
   // ---- from fronts. Each accepted request gets exactly one on_answer, unless its asker takes it back first.
   RequestKey accept(const Arrival& arrival, Asker& asker, std::uint64_t ticket);
   void asker_gone(RequestKey key);
-  std::size_t open_requests() const { return unanswered_; }
+  // Also those that are answered, or left by their clients, and still run: stopping would cut a load in half.
+  std::size_t open_requests() const { return requests_.size(); }
 
   // ---- from a directory
   void learn_members(const std::vector<Member>& members, bool remembered);
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -470,7 +470,8 @@
   void expect_engine(LineEngine& engine, const std::string& what) {
     if (what == "nothing") {
       const auto command = engine.next(std::chrono::milliseconds(std::stoi(word())));
-      return require(!command, "it got " + command.value_or(""));
+      require(!command, "it got " + command.value_or(""));
+      return require(engine.peers.empty() || !engine.peers.at(engine.last).ended(), "its connection ended");
     }
     const auto command = engine.next(kPatience);
     require(command.has_value(), "nothing came");
--- a/tests/dispatch/scenarios.cpp
+++ b/tests/dispatch/scenarios.cpp
@@ -258,6 +258,21 @@
     expect dispatcher exit 0)");
 }
 
+TEST_CASE("SIGTERM waits for a load that its client has left") {
+  // Guards against half a load: ending would close the engine's connection, which abandons what runs on it.
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 load 5000 INSERT INTO s_1.t VALUES (1)
+    expect a REQ
+    close c
+    signal TERM
+    expect a nothing 1500
+    send a data parts=1 done\n
+    expect dispatcher exit 0)");
+}
+
 TEST_CASE("mysql: statements, rows, errors and schemas pass through") {
   play(R"(
     mysql-engines a b
--- a/tests/dispatch/standins.h
+++ b/tests/dispatch/standins.h
@@ -30,6 +30,7 @@
   // Reads more into the buffer; false at the end of the stream or of the time.
   bool more(std::chrono::milliseconds within = kPatience);
   bool has(std::size_t bytes, std::chrono::milliseconds within = kPatience);
+  bool ended() const { return ended_; }
   bool at_end(std::chrono::milliseconds within = kPatience);
   std::string take(std::size_t bytes);
   std::string& buffer() { return buffer_; }
