Take SIGHUP: reread the configuration, move the directory, keep list and requests

Change: main reads the file again through load_config and hands it to App::reload, which moves the DNS directory (DnsDirectory::move_to: new socket, old questions forgotten, list and serial kept) and takes over log, fixed engines, and the MySQL front's users, times and cap. A file with a fault is logged by key and changes nothing. Ruled out: losing requests over the reload, by a scenario with a load out across two SIGHUPs; it and the one for MySQL's users fail without the change.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -3,6 +3,8 @@
 #include <cerrno>
 #include <cstring>
 
+#include "app/options.h"
+
 namespace rookproxy {
 namespace {
 
@@ -60,11 +62,7 @@
   core_.use(*links_);
   core_.learn_members(config.known, true);
   core_.settle();
-  if (config.nameserver) {
-    directory_ = std::make_unique<DnsDirectory>(
-        loop, log, *config.nameserver, config.service, config.directory_poll, config.known_offset,
-        config.seed, [this](const std::vector<Member>& members) { core_.learn_members(members, false); });
-  }
+  find_engines(config);
   if (config.listen) {
     FramesFront::Limits clients;
     clients.most_connections = client_share(config.sockets);
@@ -80,6 +78,28 @@
   loop.each_turn([this] { core_.settle(); });
 }
 
+void App::find_engines(const Config& config) {
+  if (!config.nameserver) {
+    directory_.reset();
+  } else if (directory_) {
+    directory_->move_to(*config.nameserver, config.service, config.directory_poll);
+  } else {
+    directory_ = std::make_unique<DnsDirectory>(
+        loop_, log_, *config.nameserver, config.service, config.directory_poll, config.known_offset,
+        config.seed, [this](const std::vector<Member>& members) { core_.learn_members(members, false); });
+  }
+}
+
+void App::reload(const Config& config) {
+  configure_log(log_, config.log);
+  find_engines(config);
+  // With a directory the file's list is that of some start, perhaps long ago: the directory knows better.
+  if (!directory_) core_.learn_members(config.known, false);
+  if (mysql_ && config.mysql) mysql_->reload(*config.mysql);
+  log_.line(Level::kNotice, "config", "reread",
+            {{"nameserver", config.nameserver ? config.nameserver->text() : "-"}});
+}
+
 void App::drain() {
   if (std::exchange(draining_, true)) return;
   log_.line(Level::kNotice, "stop", "draining", {{"open", std::to_string(core_.open_requests())}});
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -16,10 +16,15 @@
 class App {
  public:
   App(Loop& loop, Log& log, const Config& config);
+  // Takes over what a new configuration says and a running dispatcher can change: the directory's address,
+  // the fixed list of engines, the log, the MySQL front's users, times and cap. Requests and the list's
+  // serial go on.
+  void reload(const Config& config);
   // Not ready any more; what still comes is served, and the loop stops once nothing is open.
   void drain();
 
  private:
+  void find_engines(const Config& config);
   void stop_when_idle();
 
   Loop& loop_;
--- a/src/app/options.h
+++ b/src/app/options.h
@@ -62,7 +62,7 @@
 
 inline void configure_log(Log& log, const LogConfig& config) {
   log.set_least(config.level);
-  if (config.syslog) log.to_syslog(*config.syslog, config.facility);
+  log.to_syslog(config.syslog, config.facility);
 }
 
 }  // namespace rookproxy
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -26,9 +26,22 @@
   ask();
 }
 
-DnsDirectory::~DnsDirectory() {
+DnsDirectory::~DnsDirectory() { hang_up(); }
+
+void DnsDirectory::hang_up() {
   loop_.cancel(timer_);
   if (socket_) loop_.unwatch(key_, socket_.get());
+  socket_ = Fd();
+}
+
+void DnsDirectory::move_to(const Endpoint& server, std::string service, Duration poll) {
+  hang_up();
+  server_ = server;
+  service_ = std::move(service);
+  poll_ = poll;
+  asked_.clear();  // an answer of the former server can't arrive any more
+  heard_at_ = loop_.now();
+  ask();
 }
 
 void DnsDirectory::ask() {
--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -22,8 +22,11 @@
   DnsDirectory(Loop& loop, Log& log, const Endpoint& server, std::string service, Duration poll,
                std::uint64_t serial, std::uint64_t seed, Told told);
   ~DnsDirectory();
+  // Asks there from now on, and at once. The list and its serial go on: it is the same directory elsewhere.
+  void move_to(const Endpoint& server, std::string service, Duration poll);
 
  private:
+  void hang_up();
   void ask();
   void on_ready(std::uint32_t events) override;
   void take(std::string_view message);
--- a/src/front/mysql.cpp
+++ b/src/front/mysql.cpp
@@ -448,6 +448,14 @@
   if (Connection* connection = find(ticket)) connection->answered(std::move(answer));
 }
 
+void MysqlFront::reload(const MysqlFrontConfig& config) {
+  MysqlFrontConfig fresh = config;
+  fresh.listen = config_.listen;
+  fresh.read_class = config_.read_class;
+  fresh.load_class = config_.load_class;
+  config_ = std::move(fresh);
+}
+
 void MysqlFront::drain() {
   // Destroyed at the turn's end: the signal may have come in the middle of its own turn.
   loop_.defer([this] { acceptor_.reset(); });
--- a/src/front/mysql.h
+++ b/src/front/mysql.h
@@ -19,6 +19,8 @@
   ~MysqlFront();
 
   void on_answer(std::uint64_t ticket, Answer answer) override;
+  // Users, deadlines, idle time and cap of a new configuration; the address and the classes stay.
+  void reload(const MysqlFrontConfig& config);
   // Takes no new connections; those that are open are served until the program ends.
   void drain();
   bool is_flushed();
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -86,8 +86,8 @@
       app_(std::move(app)),
       process_(std::to_string(::getpid())) {}
 
-void Log::to_syslog(const Endpoint& address, int facility) {
-  syslog_ = connect_udp(address);
+void Log::to_syslog(const std::optional<Endpoint>& address, int facility) {
+  syslog_ = address ? connect_udp(*address) : Fd();
   facility_ = facility;
 }
 
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -32,7 +32,8 @@
 class Log {
  public:
   Log(std::ostream& out, Level least, std::string host, std::string app);
-  void to_syslog(const Endpoint& address, int facility);
+  // No address: to no collector (any more).
+  void to_syslog(const std::optional<Endpoint>& address, int facility);
   void set_least(Level least) { least_ = least; }
   void set_host(std::string host) { host_ = std::move(host); }
   bool takes(Level level) const { return level <= least_; }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,7 +14,7 @@
 constexpr std::string_view kHelp =
     "usage: rookproxy [--file OPERATORS.toml] [--check]\n"
     "\n"
-    "Runs one dispatcher in the foreground until SIGTERM.\n"
+    "Runs one dispatcher in the foreground until SIGTERM. SIGHUP makes it read its configuration again.\n"
     "  --file F   an operator's file; its keys win over those of $NODE_CONFIG\n"
     "  --check    reads the configuration, says what is wrong with it, and exits\n"
     "  --help     this text\n"
@@ -28,13 +28,21 @@
   using namespace rookproxy;
   return run_program(argc, argv, "rookproxy", kHelp, false, [](const ProgramOptions& options, Log& log) {
     const char* platform = std::getenv("NODE_CONFIG");
-    const Config config = load_config(platform ? platform : "", options.file);
+    const auto load = [&] { return load_config(platform ? platform : "", options.file); };
+    const Config config = load();
     if (options.check) return report_fine();
     log.set_host(config.name);
     configure_log(log, config.log);
     Loop loop;
     App app(loop, log, config);
-    Signals signals(loop, {SIGTERM, SIGINT}, [&app](int) { app.drain(); });
+    Signals signals(loop, {SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
+      if (signal != SIGHUP) return app.drain();
+      try {
+        app.reload(load());
+      } catch (const std::exception& fault) {  // a file that can't be read must not end what serves
+        log.line(Level::kError, "config", std::string("the former settings stay: ") + fault.what(), {});
+      }
+    });
     loop.run();
     // Connections still open are closed by the kernel; taking the tables down one by one would serve nobody.
     std::cerr.flush();
--- a/tests/dispatch/parts.cpp
+++ b/tests/dispatch/parts.cpp
@@ -117,7 +117,7 @@
   REQUIRE(::bind(collector.get(), reinterpret_cast<const sockaddr*>(&any), sizeof any) == 0);
   std::ostringstream out;
   Log log(out, Level::kInfo, "h", "a");
-  log.to_syslog({0x7f000001, local_port(collector)}, 3);
+  log.to_syslog(Endpoint{0x7f000001, local_port(collector)}, 3);
   log.line(Level::kNotice, "id", "text", {{"k", "v"}});
   REQUIRE(test::readable(collector, test::kPatience));
   char bytes[512];
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -179,13 +179,15 @@
     if (verb == "set") return set();
     if (verb == "start") return start();
     if (verb == "directory") return directory();
+    if (verb == "move") return move_directory();
+    if (verb == "configure") return configure(rest());
     if (verb == "client") return connect();
     if (verb == "mysql") return log_in();
     if (verb == "send") return send();
     if (verb == "expect") return expect();
     if (verb == "close") return close();
     if (verb == "wait") return std::this_thread::sleep_for(std::chrono::milliseconds(std::stoi(word())));
-    if (verb == "signal") return process_.signal(word() == "TERM" ? SIGTERM : SIGINT);
+    if (verb == "signal") return process_.signal(word() == "HUP" ? SIGHUP : SIGTERM);
     fail("unknown step");
   }
 
@@ -239,8 +241,7 @@
   }
 
   void start() {
-    config_["nameserver"] = "127.0.0.1:" + std::to_string(directory_.port());
-    std::ofstream(folder_ + "/config.json") << config_;
+    configure("");
     process_.start(folder_ + "/config.json", folder_ + "/log");
     process_.wait_for("serving frames");
     frames_port_ = static_cast<std::uint16_t>(std::stoi(process_.wait_for("start [rookproxy@32473 port=\"")));
@@ -252,6 +253,15 @@
     }
   }
 
+  // Writes the file anew: as it stands, or with that text.
+  void configure(const std::string& text) {
+    config_["nameserver"] = "127.0.0.1:" + std::to_string(directory_->port());
+    std::ofstream(folder_ + "/config.json") << (text.empty() ? config_.dump() : text);
+  }
+
+  // The former one answers no more.
+  void move_directory() { directory_ = std::make_unique<DirectoryStandIn>(directory_->serial()); }
+
   void directory() {
     std::vector<Member> members;
     for (std::string entry = word(); !entry.empty(); entry = word()) {
@@ -263,9 +273,9 @@
       if (entry.substr(equals + 1) == "draining") member.state = lemonshift::EngineState::kDraining;
       members.push_back(std::move(member));
     }
-    directory_.tell(std::move(members));
+    directory_->tell(std::move(members));
     process_.wait_for("new list");
-    process_.wait_for("serial=\"" + std::to_string(directory_.serial()));
+    process_.wait_for("serial=\"" + std::to_string(directory_->serial()));
   }
 
   void connect() { clients_.insert_or_assign(word(), Client{Peer::connect(frames_port_), false, {}}); }
@@ -287,6 +297,7 @@
     client.peer.send(mysql::packets(mysql::login_payload(login), sequence));
     auto answer = take_mysql(client.peer);
     if (answer && answer->payload == "\x01\x03") answer = take_mysql(client.peer);
+    if (schema == "denied") return require(answer && answer->payload.starts_with('\xff'), "let in");
     require(answer && answer->payload.starts_with('\0'), "the log-in failed");
     clients_.insert_or_assign(name, std::move(client));
   }
@@ -453,6 +464,7 @@
 
   void expect() {
     const std::string name = word();
+    if (name == "log") return static_cast<void>(process_.wait_for(rest()));
     if (name == "executed" || name == "prepared" || name == "duplicates") return expect_count(name);
     const std::string what = word();
     if (name == "dispatcher") return require(process_.exit_code() == std::stoi(word()), "another exit code");
@@ -491,7 +503,7 @@
   std::istringstream in_;
   std::string folder_;
   json config_ = base_config();
-  DirectoryStandIn directory_;
+  std::unique_ptr<DirectoryStandIn> directory_ = std::make_unique<DirectoryStandIn>();
   std::map<std::string, LineEngine> line_engines_;
   std::map<std::string, std::unique_ptr<MysqlStandIn>> mysql_engines_;
   std::map<std::string, Client> clients_;
--- a/tests/dispatch/scenario.h
+++ b/tests/dispatch/scenario.h
@@ -5,7 +5,10 @@
 //   set /a/b VALUE                 a key of the configuration (JSON pointer and value), before start
 //   start                          the dispatcher; waits until it serves
 //   directory A=up B=draining ...  what the directory lists from now on; waits until the dispatcher has it
-//   client C | mysql C [SCHEMA]    connects a client to the front for frames, or logs in to that for MySQL
+//   move directory                 to another address, the next 'directory' is told there
+//   configure [TEXT]               writes the configuration anew, as it stands or as that text
+//   expect log TEXT                waits until the dispatcher's log holds it
+//   client C | mysql C [SCHEMA|denied]    connects a client to the front for frames, or logs in to that for MySQL
 //   send C request STREAM CLASS TTL TEXT | send C fields STREAM NAME=VALUE,... TEXT
 //   send C abandon STREAM | send C ready STREAM | send C hex BYTES
 //   expect C served|refused|failed STREAM [TEXT] | expect C ready CODE | expect C goaway | expect C error
@@ -15,7 +18,7 @@
 //   long N PARAMETER TEXT | send C command HEX expect C ok | expect C prepared | expect C error CODE [TEXT] |
 //   expect C rows N expect executed N TEXT         that often, over all MySQL engines; expect prepared N
 //   TEXT; expect duplicates N expect NAME closed | expect NAME nothing MS | close NAME | close NAME listener
-//   | wait MS signal TERM | expect dispatcher exit CODE
+//   | wait MS signal TERM|HUP | expect dispatcher exit CODE
 #pragma once
 
 #include <string>
--- a/tests/dispatch/scenarios.cpp
+++ b/tests/dispatch/scenarios.cpp
@@ -273,6 +273,50 @@
     expect dispatcher exit 0)");
 }
 
+TEST_CASE("SIGHUP: the directory moves, requests and the serial go on, a bad file changes nothing") {
+  // Guards against ending on SIGHUP, and against a directory asked where nobody answers any more.
+  play(R"(
+    engines a b
+    start
+    directory a=up
+    client c
+    send c request 1 load 20000 INSERT INTO s_1.t VALUES (1)
+    expect a REQ
+    configure {"settings": 7}
+    signal HUP
+    expect log the former settings stay: settings
+    move directory
+    configure
+    signal HUP
+    expect log reread
+    directory a=draining b=up
+    send c request 2 lookup 3000 SELECT 2
+    expect b REQ
+    send b data parts=1 two\n
+    expect c served 2 two\n
+    send a data parts=1 done\n
+    expect c served 1 done\n)");
+}
+
+TEST_CASE("mysql: SIGHUP changes who may log in and leaves what runs alone") {
+  play(R"(
+    mysql-engines a
+    set /mysql/users {"another":"other","school":"secret"}
+    start
+    mysql m
+    send m query INSERT INTO s_1.t VALUES ('sleep_300')
+    expect executed 1 sleep
+    set /mysql/users {"school":"changed"}
+    configure
+    signal HUP
+    expect log reread
+    expect m ok
+    mysql n denied
+    send m query INSERT INTO s_1.t VALUES ('still in')
+    expect m ok
+    expect duplicates 0)");
+}
+
 TEST_CASE("mysql: statements, rows, errors and schemas pass through") {
   play(R"(
     mysql-engines a b
--- a/tests/dispatch/standins.cpp
+++ b/tests/dispatch/standins.cpp
@@ -147,7 +147,7 @@
   return out;
 }
 
-DirectoryStandIn::DirectoryStandIn() {
+DirectoryStandIn::DirectoryStandIn(std::uint32_t serial) : serial_(serial) {
   socket_ = Fd(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
   const sockaddr_in address = Endpoint{kLoopback, 0}.socket_address();
   if (::bind(socket_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
--- a/tests/dispatch/standins.h
+++ b/tests/dispatch/standins.h
@@ -52,7 +52,7 @@
 // Answers for the directory by DNS over UDP, with the list it was last given.
 class DirectoryStandIn {
  public:
-  DirectoryStandIn();
+  explicit DirectoryStandIn(std::uint32_t serial = 1);
   ~DirectoryStandIn();
   std::uint16_t port() const { return local_port(socket_); }
   void tell(std::vector<Member> members);
@@ -63,7 +63,7 @@
   Fd socket_;
   std::mutex mutex_;
   std::vector<Member> members_;
-  std::uint32_t serial_ = 1;
+  std::uint32_t serial_;
   std::atomic<bool> stop_{false};
   std::thread thread_;
 };
