Keep each gateway's grants within its part of an engine's memory

Each of three gateways, told of room, filled its window; then all of them took the engine for full until the report was old, while lookups in the queues ran out of time. At fault: may_start() bounded threads only, and memory by a report that comes too late; has_room() shut at 1.0 of it. Now a gateway counts the memory that it has granted on an engine and keeps to its part (memory_room); a report shuts from 1.2.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -26,6 +26,7 @@
 constexpr double kSumUp = 0.014, kSumDown = 0.9;         // the sum of all, added or kept: 14% late in balance
 constexpr double kSumLine = 0.95;  // kept of it for a query in an engine's line for memory
 constexpr double kSumLeast = 0.1, kSumMost = 1.2, kBurst = 2;  // with room for chance: square roots of it
+constexpr double kMemoryPart = 1.0;      // of an engine's memory that all gateways' grants may take
 constexpr double kUsedSpan = 5'000'000;  // of the mean of use that may not pass a sum under one query
 constexpr double kSumWide = 2;           // windows of more threads than this bound engines by themselves
 constexpr double kHeldBack = 0.6, kSteep = 2;  // of the sum is not for the work that earns least; how sharply
@@ -101,6 +102,7 @@
   std::uint32_t zone = 0, cell = 0;
   Time sent = 0, heard = 0;  // heard: sent or last spoken of
   int level = 0;             // priority it was sent with
+  double memory = 0;         // granted, MB
   bool out = true, cancelled = false, spilled = false;
   bool may_have_run = true;  // until an outcome proves the contrary
   bool waits = false;        // in the engine's line for memory, said once
@@ -133,7 +135,8 @@
   EngineEntry told;
   bool known = false;
   std::uint64_t list = 0, hash = 0;  // the last list that named it; of its name
-  double cores = 1;
+  double cores = 1, memory = 0;      // what it has; memory in MB, 0: not told
+  double granted = 0;                // of it, to own attempts out
   std::vector<Group> groups;
   double norm2 = 0, sends = 0;  // squared length of the mean; sends since it was empty
   std::vector<Request*> queue;
@@ -421,11 +424,11 @@
     const auto& c = cls(r);
     const int priority = level(r);
     SetTerms terms{r.id, std::nullopt, s_.priorities_heeded ? priority : 1};
-    if (s_.grants_heeded && r.memory_mb) terms.memory_mb = *r.memory_mb * classes_[r.cls].grant;
+    if (s_.grants_heeded && r.memory_mb) terms.memory_mb = grant(r);
     if (s_.priorities_heeded || s_.grants_heeded) actions_->push_back(terms);
     actions_->push_back(Send{r.id, e.told.id, std::nullopt});
     if (!r.attempts.empty()) extra_sent_.push_back(now_);
-    r.attempts.push_back({&e, e.told.id, e.told.zone, e.told.cell, now_, now_, priority});
+    r.attempts.push_back({&e, e.told.id, e.told.zone, e.told.cell, now_, now_, priority, grant(r)});
     ++r.out;
     ++e.out;
     ++e.sent_since;
@@ -436,8 +439,11 @@
     if (!c.is_load) move_mean(e, g);  // a load's engine is no home for its readers
   }
 
+  double grant(const Request& r) const { return r.memory_mb ? *r.memory_mb * classes_[r.cls].grant : 0; }
+
   void count(Engine& e, const Request& r, const Attempt& a, int by) {  // in the windows
     e.running += by;
+    e.granted = std::max(0.0, e.granted + by * a.memory);
     e.threads[a.level] += by * cls(r).threads;
     threads_[a.level] += by * cls(r).threads;
   }
@@ -541,7 +547,7 @@
   bool has_room(const Engine& e, int priority) const {
     if (now_ < e.shut_until) return false;
     if (report_trust(e) > kReportTrust / 2 &&
-        (e.over > 1 ||
+        (e.over > 1.2 ||
          (e.reported + e.sent_since) * mean_threads_ >= kThreadsPerCore * e.cores * capacity_share(e))) {
       return false;
     }
@@ -562,12 +568,20 @@
     return total < most && (total > 0 || std::accumulate(used_ + priority, used_ + 4, 0.0) < most);
   }
 
+  // Where engines let in more than their memory holds, all on them slow down together. Reports of it come too
+  // late: each gateway, told of room, fills its window, and then all wait until the report is old. So each
+  // keeps its grants within its own part of an engine's memory.
+  bool memory_room(const Engine& e, const Request& r) const {
+    if (s_.short_memory != ShortMemory::kPage || e.memory <= 0 || e.granted <= 0) return true;
+    return e.granted + grant(r) <= kMemoryPart * e.memory / gateways_;
+  }
+
   bool may_start(Engine& e, const Request& r) const {  // the gate as a whole: no send but through here
     const double steep = kSteep / std::max(0.1, earns_spread_);
     const double part = 1 - kHeldBack / (1 + std::exp2(steep * (octaves(value(r)) - earns_)));
     const int priority = level(r);
-    return has_room(e, priority) && sum_has_room(priority, part) && attempt_allowed(r, r.out) &&
-           allowed(e, r) && key_free(r) && cold_allows(e, r);
+    return has_room(e, priority) && memory_room(e, r) && sum_has_room(priority, part) &&
+           attempt_allowed(r, r.out) && allowed(e, r) && key_free(r) && cold_allows(e, r);
   }
 
   // What an answer still earns: work past its aim takes no room from work that can meet it, whatever made it
@@ -718,7 +732,10 @@
       e.list = lists_;
       if (!e.known) {
         e.hash = hash_text(entry.name);
-        if (entry.kind < s_.kinds.size()) e.cores = s_.kinds[entry.kind].cores.value_or(1);
+        if (entry.kind < s_.kinds.size()) {
+          e.cores = s_.kinds[entry.kind].cores.value_or(1);
+          e.memory = s_.kinds[entry.kind].memory_mb.value_or(0);
+        }
       }
       if (entry.started > 0 && (!e.known || entry.started != e.told.started)) restarted(e, entry.started);
       e.known = true;
