--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -26,7 +26,8 @@
 constexpr double kSumUp = 0.014, kSumDown = 0.9;         // the sum of all, added or kept: 14% late in balance
 constexpr double kSumLine = 0.95;  // kept of it for a query in an engine's line for memory
 constexpr double kSumLeast = 0.1, kSumMost = 1.2, kBurst = 2;  // with room for chance: square roots of it
-constexpr double kMemoryPart = 1.0;      // of an engine's memory that all gateways' grants may take
+constexpr double kMemoryPart = 1;        // of an engine's memory that all gateways' grants may take
+constexpr double kMemoryOver = 1.2;      // granted by its report, in times of it: it takes nothing now
 constexpr double kUsedSpan = 5'000'000;  // of the mean of use that may not pass a sum under one query
 constexpr double kSumWide = 2;           // windows of more threads than this bound engines by themselves
 constexpr double kHeldBack = 0.6, kSteep = 2;  // of the sum is not for the work that earns least; how sharply
@@ -547,7 +548,7 @@
   bool has_room(const Engine& e, int priority) const {
     if (now_ < e.shut_until) return false;
     if (report_trust(e) > kReportTrust / 2 &&
-        (e.over > 1.2 ||
+        (e.over > kMemoryOver ||
          (e.reported + e.sent_since) * mean_threads_ >= kThreadsPerCore * e.cores * capacity_share(e))) {
       return false;
     }
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -718,6 +718,36 @@
   EXPECT_EQ(s.sends().size(), 0u);
 }
 
+TEST(Memory, GrantsStayWithinOurPartOfAnEnginesMemory) {
+  // Two gateways that are both told of room and both fill it push an engine into paging, which slows all on
+  // it.
+  auto settings = basic();
+  settings.routers = 2;
+  settings.grants_heeded = true;
+  settings.short_memory = ShortMemory::kPage;
+  settings.kinds = {{"k0", 64.0, 16384.0}};
+  Script s(settings);
+  s.list(0, {engine(0)});
+  std::vector<Event> many;
+  for (RequestId id = 1; id <= 20; ++id) {
+    RequestArrived one = query(id);
+    one.memory_mb = 1024;
+    many.push_back(one);
+  }
+  s.at(1, many);
+  // 8,192 MB are ours; a grant is a quarter over the estimate at first.
+  EXPECT_EQ(s.sends().size(), 6u);
+  s.at(2, {ended(1, 0, 0, Outcome::kServed)});
+  EXPECT_EQ(s.sends().size(), 1u);  // what it held is free again
+  // One that never fits is not held back for ever: it may have the engine to itself.
+  Script lone(settings);
+  lone.list(0, {engine(0)});
+  RequestArrived large = query(1);
+  large.memory_mb = 9000;
+  lone.at(1, {large});
+  EXPECT_EQ(lone.sends().size(), 1u);
+}
+
 TEST(Deterministic, TheSameEventsGiveTheSameActions) {
   const auto run = [] {
     auto settings = with_cold();
