Contain bad peers and bad clients: few requests share a connection, quiet ones give way

Checked against the sockets: the pool filled the first connection up to 32; 'silent' ones were retired but what was open on them waited on; a second 'data' while pages were missing ended a good attempt; an attempt reset before a byte had left, or refused while other connections worked, was told as 'no connection', which shuts the engine. At fault: Pool::choose, send and withdraw; LinesConnection::on_bytes, take and lost. Now: the least used connection, at most six requests while descriptors last, none beside a load; an answer that has begun is whole within the dial time and pages within three of them, or the connection ends; one given up unheard is not used again; surplus is dropped; what has not begun to leave goes over another connection; ids are remembered for as long as a resend is possible.

Checked: FramesFront::accept closed whoever came last; only the idle time ended silence; one stream could buffer 266 kB times the cap, more than the least memory; a ttl of 49 days, memory of 1e300 MB and the id of an open request went on to the module. Now: the longest quiet connection without a request gives way, those that never spoke first; a first frame is there, and any that has begun is whole, within 2 s; large unfinished frames and answers not taken share an eighth of the memory each; ids that are open and figures beyond bounds are turned away.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -23,8 +23,16 @@
   PoolLimits limits;
   limits.most_connections = engine_share(config.sockets);
   limits.per_connection = config.multiplex;
+  // Few share a spoilt connection's end; one for each request was measured to cost engines more than it
+  // saved.
+  limits.spread = 6;
   limits.dial_timeout = limits.probe_timeout = config.dial_timeout;
   limits.idle = config.keepalive / 3;
+  limits.answer_time = limits.doubt = config.dial_timeout;
+  limits.page_time = 3 * config.dial_timeout;
+  for (const auto& cls : config.settings.classes) {
+    limits.ids_kept = std::max(limits.ids_kept, span_from_module(cls.deadline));
+  }
   const auto notes = config.settings.note_interval;
   limits.silence = notes ? 3 * span_from_module(*notes) : Duration(0);
   return limits;
@@ -66,6 +74,7 @@
   if (config.listen) {
     FramesFront::Limits clients;
     clients.most_connections = client_share(config.sockets);
+    clients.most_unfinished = clients.most_untaken = (config.memory_mb << 20) / 8;
     frames_ = std::make_unique<FramesFront>(loop, log, core_, listener_at(*config.listen, "listen"), clients);
     log.line(Level::kNotice, "start", "serving frames",
              {{"port", std::to_string(frames_->port())}, {"engines", std::to_string(config.known.size())}});
--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -23,14 +23,18 @@
 
 }  // namespace
 
+std::size_t frame_length(std::string_view bytes, Frame& frame) {
+  frame.type = static_cast<std::uint8_t>(bytes[4]);
+  frame.stream = number_at(bytes, 5, 4);
+  return 4 + number_at(bytes, 0, 4);
+}
+
 Parse parse_frame(std::string_view bytes, Frame& frame, std::size_t& used) {
   if (bytes.size() < 4) return Parse::kMore;
   const std::size_t length = number_at(bytes, 0, 4);
   if (length < kLeastLength || length > kMostSkipped) return Parse::kBroken;
   if (bytes.size() < kHeader) return Parse::kMore;
-  frame.type = static_cast<std::uint8_t>(bytes[4]);
-  frame.stream = number_at(bytes, 5, 4);
-  used = 4 + length;
+  used = frame_length(bytes, frame);
   if (length > kMostLength) return Parse::kOversized;
   if (bytes.size() < used) return Parse::kMore;
   frame.payload = bytes.substr(kHeader, length - kLeastLength);
@@ -87,6 +91,10 @@
 namespace {
 
 constexpr Duration kLinger = std::chrono::milliseconds(300);
+constexpr std::size_t kUsualLength = 16 * 1024;  // of a frame; larger ones have to share a budget
+// Figures beyond these are no estimates: they would only mislead the module about what usual requests take.
+constexpr int kMostDeadlines = 4;                     // of its class, that a client may wait
+constexpr double kMostWork = 1e7, kMostMemory = 1e7;  // ms, MB
 
 std::optional<double> amount(std::string_view text) {
   const auto value = parse_number<double>(text);
@@ -125,9 +133,13 @@
       : front_(front),
         key_(key),
         stream_(front.loop_, std::move(fd), *this, false, frames::kMostLength + 4096) {
-    rest();
+    wait_for_frame();
+  }
+  ~Connection() {
+    front_.loop_.cancel(idle_timer_);
+    front_.loop_.cancel(frame_timer_);
+    front_.unfinished_ -= reserved_;
   }
-  ~Connection() { front_.loop_.cancel(idle_timer_); }
 
   std::size_t on_bytes(std::string_view bytes) override {
     if (dead_) return bytes.size();
@@ -140,7 +152,7 @@
     std::size_t used = 0;
     switch (frames::parse_frame(bytes, frame, used)) {
       case frames::Parse::kMore:
-        return 0;
+        return begin(bytes);
       case frames::Parse::kBroken:
         broken("unreadable frame");
         return bytes.size();
@@ -153,6 +165,10 @@
         skip_ = used;
         return on_bytes(bytes);
       case frames::Parse::kOne:
+        front_.loop_.cancel(frame_timer_);
+        front_.unfinished_ -= std::exchange(reserved_, 0);
+        spoken_at_ = front_.loop_.now();
+        rest();
         take(frame);
     }
     return used;
@@ -166,6 +182,13 @@
     write(frames::make_answer(stream, code, fields, body));
     rest();
   }
+  // Nothing is open: such a connection may be closed, the longest quiet first, before all those that never
+  // spoke.
+  bool may_go() const { return open_.empty() && !dead_; }
+  std::pair<bool, Time> quiet_since() const {
+    return {spoken_at_ != Time(), std::max(spoken_at_, began_at_)};
+  }
+  std::size_t untaken() const { return stream_.queued(); }
   void go_away() { write(frames::make_frame(frames::kGoAway, 0, "")); }
   bool is_flushed() const { return stream_.queued() == 0; }
   // The requests nobody waits for any more.
@@ -181,7 +204,43 @@
   void write(std::string bytes) {
     stream_.write(std::move(bytes));
     // A client that does not take its answers gets to send nothing more until it does.
-    if (stream_.queued() > front_.limits_.most_queued) stream_.hold_reading(true);
+    if (stream_.queued() <= front_.limits_.most_queued) return;
+    stream_.hold_reading(true);
+    if (front_.untaken() > front_.limits_.most_untaken) {
+      front_.log_.line(Level::kNotice, "frames", "answers not taken", {});
+      front_.loop_.defer([&front = front_, key = key_] { front.drop(key); });
+    }
+  }
+
+  // A frame has begun. It may take up its length only while the budget for large ones lasts, and only for so
+  // long.
+  std::size_t begin(std::string_view bytes) {
+    if (frame_timer_.second == 0) wait_for_frame();
+    if (bytes.size() < frames::kHeader || reserved_ > 0) return 0;
+    frames::Frame head;
+    const std::size_t length = frames::frame_length(bytes, head);
+    if (length <= kUsualLength) return 0;
+    if (front_.unfinished_ + length <= front_.limits_.most_unfinished) {
+      reserved_ = length;
+      front_.unfinished_ += length;
+      return 0;
+    }
+    if (head.type != frames::kRequest || head.stream == 0 || open_.contains(head.stream)) {
+      broken("no room for a frame so large");
+      return bytes.size();
+    }
+    answer(head.stream, frames::kRefused, {{"pushback", "1000"}}, "no room for a frame so large");
+    skip_ = length;
+    return on_bytes(bytes);
+  }
+
+  // Silence is no request, and half a frame neither: they hold descriptors that others need.
+  void wait_for_frame() {
+    front_.loop_.cancel(frame_timer_);
+    frame_timer_ = front_.loop_.at(front_.loop_.now() + front_.limits_.patience, [this] {
+      if (open_.empty()) return front_.drop(key_);
+      broken("a frame that did not end");
+    });
   }
 
   void rest() {
@@ -197,6 +256,7 @@
     // Closing with bytes unread would reset the connection and could take the error with it: let it arrive
     // first.
     dead_ = true;
+    front_.loop_.cancel(frame_timer_);
     stream_.end_writing();
     front_.loop_.cancel(idle_timer_);
     idle_timer_ = front_.loop_.at(front_.loop_.now() + kLinger, [this] { front_.drop(key_); });
@@ -216,7 +276,7 @@
         if (const auto found = open_.find(frame.stream); found != open_.end()) {
           const SlotKey ticket = found->second;
           open_.erase(found);
-          if (const auto known = front_.tickets_.take(ticket)) front_.core_.asker_gone(known->request);
+          if (const auto known = front_.take_ticket(ticket)) front_.core_.asker_gone(known->request);
           rest();
         }
         return;  // its answer has crossed this on the way: fine
@@ -243,14 +303,24 @@
     if (!cls) return reject(frame.stream, "field op: unknown class");
     const auto ttl = ttl_text ? parse_number<std::uint32_t>(*ttl_text) : std::nullopt;
     if (!ttl || *ttl == 0) return reject(frame.stream, "field ttl: not a positive number of milliseconds");
+    const Duration patience = std::chrono::milliseconds(*ttl);
+    const auto& settings = front_.core_.settings().classes[*cls];
+    if (patience > kMostDeadlines * span_from_module(settings.deadline)) {
+      return reject(frame.stream, "field ttl: far beyond what its class may take");
+    }
     std::optional<double> work, memory;
     if (const auto text = field("work")) {
       work = amount(*text);
-      if (!work || *work > 1e12) return reject(frame.stream, "field work: not an amount");
+      if (!work || *work > kMostWork) return reject(frame.stream, "field work: not an amount");
     }
     if (const auto text = field("memory")) {
       memory = amount(*text);
-      if (!memory) return reject(frame.stream, "field memory: not an amount");
+      if (!memory || *memory > kMostMemory) return reject(frame.stream, "field memory: not an amount");
+    }
+    // Engines know requests by it: under one that is open, another statement would end or answer the wrong
+    // one.
+    if (front_.open_calls_.contains(std::string(*call))) {
+      return reject(frame.stream, "field call: open already");
     }
     if (open_.size() >= front_.limits_.most_open) {
       return answer(frame.stream, frames::kRefused, {{"pushback", "1000"}}, "too many open requests here");
@@ -260,14 +330,15 @@
     query->id = *call;
     query->class_name = *op;
     query->statement = body;
-    query->writes = front_.core_.settings().classes[*cls].effect == lemonshift::Effect::kUnsafe;
+    query->writes = settings.effect == lemonshift::Effect::kUnsafe;
     arrival.query = std::move(query);
     arrival.cls = *cls;
     arrival.group = sql::table_group(body);
-    arrival.give_up_at = front_.loop_.now() + std::chrono::milliseconds(*ttl);
+    arrival.give_up_at = front_.loop_.now() + patience;
     if (work && *work > 0) arrival.work = Duration(std::llround(*work * 1000));
     if (memory && *memory > 0) arrival.memory_mb = memory;
-    const SlotKey ticket = front_.tickets_.insert({key_, frame.stream, 0});
+    const SlotKey ticket = front_.tickets_.insert({key_, frame.stream, 0, std::string(*call)});
+    front_.open_calls_.emplace(*call);
     open_[frame.stream] = ticket;
     front_.loop_.cancel(idle_timer_);
     front_.tickets_.find(ticket)->request = front_.core_.accept(arrival, front_, ticket);
@@ -278,7 +349,9 @@
   std::map<std::uint32_t, SlotKey> open_;
   std::size_t skip_ = 0;
   bool dead_ = false;
-  TimerKey idle_timer_{};
+  std::size_t reserved_ = 0;  // of the budget for large frames
+  Time began_at_ = front_.loop_.now(), spoken_at_{};
+  TimerKey idle_timer_{}, frame_timer_{};
   Stream stream_;
 };
 
@@ -291,13 +364,40 @@
 
 FramesFront::~FramesFront() = default;
 
-FramesFront::Connection* FramesFront::find(SlotKey key) {
-  auto* found = connections_.find(key);
+FramesFront::Connection* FramesFront::find(SlotKey key) const {
+  const auto* found = connections_.find(key);
   return found ? found->get() : nullptr;
 }
 
+std::optional<FramesFront::Ticket> FramesFront::take_ticket(SlotKey key) {
+  auto ticket = tickets_.take(key);
+  if (ticket) open_calls_.erase(ticket->call);
+  return ticket;
+}
+
+std::size_t FramesFront::untaken() const {
+  std::size_t sum = 0;
+  for (const SlotKey key : connections_.keys()) sum += find(key)->untaken();
+  return sum;
+}
+
+// Silent ones, and those that asked once and stay for good, must not shut out who comes to ask: the longest
+// quiet connection without a request gives way, those that never spoke first.
+bool FramesFront::make_room() {
+  if (connections_.size() < limits_.most_connections) return true;
+  SlotKey quietest = 0;
+  for (const SlotKey key : connections_.keys()) {
+    const Connection* one = find(key);
+    if (!one->may_go()) continue;
+    if (quietest == 0 || one->quiet_since() < find(quietest)->quiet_since()) quietest = key;
+  }
+  if (quietest == 0) return false;
+  drop(quietest);
+  return true;
+}
+
 void FramesFront::accept(Fd fd) {
-  if (connections_.size() >= limits_.most_connections) return;  // closed: descriptors are kept for engines
+  if (!make_room()) return;  // closed: descriptors are kept for engines
   const SlotKey key = connections_.insert(nullptr);
   *connections_.find(key) = std::make_unique<Connection>(*this, key, std::move(fd));
   if (draining_) find(key)->go_away();
@@ -307,14 +407,14 @@
   Connection* connection = find(key);
   if (!connection) return;
   for (const SlotKey ticket : connection->abandon()) {
-    if (const auto known = tickets_.take(ticket)) core_.asker_gone(known->request);
+    if (const auto known = take_ticket(ticket)) core_.asker_gone(known->request);
   }
   auto kept = std::make_shared<std::unique_ptr<Connection>>(std::move(*connections_.take(key)));
   loop_.defer([kept] {});
 }
 
 void FramesFront::on_answer(std::uint64_t ticket, Answer answer) {
-  const auto known = tickets_.take(ticket);
+  const auto known = take_ticket(ticket);
   if (!known) return;
   Connection* connection = find(known->connection);
   if (!connection) return;
--- a/src/front/frames.h
+++ b/src/front/frames.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 
 #include "core/dispatcher.h"
 #include "net/stream.h"
@@ -24,13 +25,15 @@
 enum Code : std::uint8_t { kServed = 0, kRefused = 1, kFailed = 2 };
 constexpr std::size_t kHeader = 9, kLeastLength = 5, kMostLength = 262'144;
 // A frame longer than allowed is still skipped, so that its stream can be told, up to this length.
-constexpr std::size_t kMostSkipped = 16u << 20;
+constexpr std::size_t kMostSkipped = 1u << 20;
 
 struct Frame {
   std::uint8_t type = 0;
   std::uint32_t stream = 0;
   std::string_view payload;
 };
+// Of a whole header: its frame's type, stream and whole length in bytes.
+std::size_t frame_length(std::string_view header, Frame& frame);
 enum class Parse { kMore, kOne, kOversized, kBroken };
 // Takes one frame off the front of `bytes`. Oversized: `used` is its whole length, type and stream are known.
 Parse parse_frame(std::string_view bytes, Frame& frame, std::size_t& used);
@@ -48,8 +51,12 @@
  public:
   struct Limits {
     std::size_t most_connections = 400, most_open = 32;
-    std::size_t most_queued = 1u << 20;  // bytes not taken by a client, over which we stop reading from it
+    std::size_t most_queued = 256 * 1024;  // bytes not taken by a client, over which we stop reading from it
+    // For all connections together: frames that have begun and are larger than usual; answers not taken.
+    std::size_t most_unfinished = 4u << 20, most_untaken = 8u << 20;
     Duration idle = std::chrono::seconds(60);
+    // The first frame is there after this, and any frame that has begun is whole.
+    Duration patience = std::chrono::seconds(2);
   };
   FramesFront(Loop& loop, Log& log, Dispatcher& core, Fd listener, Limits limits);
   ~FramesFront();
@@ -66,10 +73,14 @@
     SlotKey connection;
     std::uint32_t stream;
     RequestKey request;
+    std::string call;
   };
   void accept(Fd fd);
   void drop(SlotKey key);
-  Connection* find(SlotKey key);
+  bool make_room();
+  std::optional<Ticket> take_ticket(SlotKey key);
+  std::size_t untaken() const;
+  Connection* find(SlotKey key) const;
 
   Loop& loop_;
   Log& log_;
@@ -77,6 +88,8 @@
   Limits limits_;
   SlotTable<std::unique_ptr<Connection>> connections_;
   SlotTable<Ticket> tickets_;
+  std::unordered_set<std::string> open_calls_;
+  std::size_t unfinished_ = 0;  // announced lengths of large frames that have begun
   bool draining_ = false;
   Acceptor acceptor_;
 };
--- a/src/link/lines.cpp
+++ b/src/link/lines.cpp
@@ -82,7 +82,7 @@
 
 std::map<std::string, LinesConnection::Open>::iterator LinesConnection::find(AttemptKey attempt) {
   return std::find_if(open_by_id_.begin(), open_by_id_.end(),
-                      [&](const auto& one) { return one.second.attempt == attempt; });
+                      [&](const auto& one) { return one.second.order.key == attempt; });
 }
 
 void LinesConnection::start(const Order& order) {
@@ -98,7 +98,7 @@
   bytes += order.query->statement;
   bytes += "\r\n";
   Open open;
-  open.attempt = order.key;
+  open.order = order;
   open.ticket = stream_->write(std::move(bytes));
   open_by_id_[order.query->id] = std::move(open);
 }
@@ -112,6 +112,7 @@
     stream_->write((found->second.pages.empty() ? "STOP " : "END ") + found->first + "\r\n");
   }
   open_by_id_.erase(found);
+  look_for_what_is_due();
   attempt_over();
   return unsent;
 }
@@ -130,8 +131,9 @@
 
 void LinesConnection::drop_unsent() {
   for (auto at = open_by_id_.begin(); at != open_by_id_.end();) {
-    const auto [id, open] = *at++;
-    if (stream_->take_back(open.ticket)) end(id, Outcome::kNoConnection);
+    const std::string id = at->first;
+    const Stream::Ticket ticket = (at++)->second.ticket;
+    if (stream_->take_back(ticket)) end(id, Outcome::kNoConnection);
   }
 }
 
@@ -141,9 +143,11 @@
   open_ = 0;
   for (auto& [id, open] : all) {
     // A byte that was handed to the kernel may have arrived, whatever became of the connection.
-    const bool begun = stream_->has_begun(open.ticket);
-    report(open.attempt,
-           {begun ? Outcome::kConnectionLost : Outcome::kNoConnection, std::nullopt, std::string(why)});
+    if (!stream_->has_begun(open.ticket)) {
+      unsent(open.order, why);
+    } else {
+      report(open.order.key, {Outcome::kConnectionLost, std::nullopt, std::string(why)});
+    }
   }
 }
 
@@ -152,7 +156,7 @@
   if (found == open_by_id_.end()) return;
   Open open = std::move(found->second);
   open_by_id_.erase(found);
-  report(open.attempt, {outcome, open.report, std::move(body)});
+  report(open.order.key, {outcome, open.report, std::move(body)});
   attempt_over();
 }
 
@@ -161,17 +165,26 @@
   std::size_t used = 0;
   switch (parse_line_answer(bytes, answer, used)) {
     case LineParse::kMore:
+      if (!std::exchange(answer_begun_, true)) look_for_what_is_due();
       return 0;
     case LineParse::kBroken:
       break_off("an answer that can't be read");
       return bytes.size();
     case LineParse::kOne:
+      answer_begun_ = false;
       heard();
       take(answer);
+      if (stream_->is_open()) look_for_what_is_due();
   }
   return used;
 }
 
+void LinesConnection::look_for_what_is_due() {
+  const bool pages = std::any_of(open_by_id_.begin(), open_by_id_.end(),
+                                 [](const auto& one) { return !one.second.pages.empty(); });
+  due_within(answer_begun_ ? limits().answer_time : pages ? limits().page_time : Duration(0));
+}
+
 void LinesConnection::take(const LineAnswer& answer) {
   const auto use = line_field(answer.fields, "use");
   if (answer.word == "well" || answer.word == "ill") {
@@ -186,11 +199,10 @@
   Open& open = found->second;
   if (use) open.report = parse_use(*use);
   if (answer.word == "data") {
-    if (!open.pages.empty()) return end(id, Outcome::kError, "two results for one query");
+    if (!open.pages.empty()) return;  // a second copy: the first stands, the surplus is dropped
     const auto parts = line_field(answer.fields, "parts");
     const auto count = parts ? parse_number<std::size_t>(*parts) : std::size_t{1};
-    if (!count || *count == 0 || *count > kMostPages)
-      return end(id, Outcome::kError, "unreadable page count");
+    if (!count || *count == 0 || *count > kMostPages) return break_off("a page count that can't be read");
     open.pages.resize(*count);
     open.missing = *count;
     std::string fetches;
@@ -201,18 +213,18 @@
   } else if (answer.word == "page") {
     const auto part = line_field(answer.fields, "part_no");
     const auto page = part ? parse_number<std::size_t>(*part) : std::nullopt;
-    if (!page || *page >= open.pages.size()) return end(id, Outcome::kError, "a page that was not asked for");
+    if (!page || *page >= open.pages.size()) return break_off("a page that was not asked for");
     take_page(id, open, *page, answer.body);
   } else if (answer.word == "news") {
     const auto detail = line_field(answer.fields, "detail");
     const auto value = line_field(answer.fields, "value");
     const double amount = value ? parse_number<double>(*value).value_or(0) : 0;
     if (!detail) return;
-    if (*detail == "frac") note(open.attempt, NoteKind::kProgress, amount);
-    if (*detail == "missing") note(open.attempt, NoteKind::kSpills, amount);
+    if (*detail == "frac") note(open.order.key, NoteKind::kProgress, amount);
+    if (*detail == "missing") note(open.order.key, NoteKind::kSpills, amount);
     if (*detail == "parked") {
       const auto kind = amount == 2.0 ? NoteKind::kWaitsForLoad : NoteKind::kWaitsForMemory;
-      note(open.attempt, kind, amount);
+      note(open.order.key, kind, amount);
     }
   } else if (answer.word == "full") {
     end(id, Outcome::kTurnedAway);
@@ -221,7 +233,7 @@
   } else if (answer.word == "failed") {
     end(id, Outcome::kError, std::string(answer.body.empty() ? "the engine failed" : answer.body));
   } else {
-    end(id, Outcome::kError, "an answer of an unknown kind");
+    break_off("an answer of an unknown kind");  // spoilt: so may be all that follows
   }
 }
 
--- a/src/link/lines.h
+++ b/src/link/lines.h
@@ -40,7 +40,7 @@
 
  private:
   struct Open {
-    AttemptKey attempt;
+    Order order;
     Stream::Ticket ticket = 0;
     std::vector<std::optional<std::string>> pages;
     std::size_t missing = 0;
@@ -50,9 +50,11 @@
   void take_page(const std::string& id, Open& open, std::size_t number, std::string_view body);
   void end(const std::string& id, Outcome outcome, std::string body = "");
   std::map<std::string, Open>::iterator find(AttemptKey attempt);
+  void look_for_what_is_due();
 
   std::map<std::string, Open> open_by_id_;
   std::string probe_tag_;
+  bool answer_begun_ = false;
 };
 
 class LinesPool final : public Pool {
--- a/src/link/mysql.cpp
+++ b/src/link/mysql.cpp
@@ -162,9 +162,10 @@
   withdrawn_ = false;
   if (!order_) return;
   const bool ran = begun_ && stream_->has_begun(*begun_);
-  const AttemptKey key = order_->key;
+  const Order order = *order_;
   order_.reset();
-  report(key, {ran ? Outcome::kConnectionLost : Outcome::kNoConnection, std::nullopt, std::string(why)});
+  if (!ran) return unsent(order, why);
+  report(order.key, {Outcome::kConnectionLost, std::nullopt, std::string(why)});
 }
 
 void MysqlConnection::end(Outcome outcome, std::string body) {
--- a/src/link/pool.cpp
+++ b/src/link/pool.cpp
@@ -4,8 +4,11 @@
 
 namespace rookproxy {
 namespace {
-// A connection that has carried so many ids is replaced: what it remembers of them must stay small.
+// A connection that has lately carried so many ids is replaced: what it remembers of them must stay small.
 constexpr std::size_t kMostIds = 4096;
+// So many connections may end under an order that has not begun to leave, before it is told as 'no
+// connection'.
+constexpr int kMostTries = 3;
 }  // namespace
 
 void LinkConnection::open(Fd fd, std::size_t input_limit) {
@@ -14,6 +17,33 @@
                                [this] { pool_.drop(key_, "connect: timed out"); });
 }
 
+// Ids are forgotten once no request can be sent again that long after: connections live for hours.
+void LinkConnection::carry(const Order& order) {
+  const Time now = pool_.loop_.now();
+  while (!ids_by_age_.empty() && now - ids_by_age_.front().first > pool_.limits_.ids_kept) {
+    used_ids_.erase(ids_by_age_.front().second);
+    ids_by_age_.pop_front();
+  }
+  if (used_ids_.insert(order.query->id).second) ids_by_age_.emplace_back(now, order.query->id);
+  if (used_ids_.size() >= kMostIds) retired_ = true;
+}
+
+const PoolLimits& LinkConnection::limits() const { return pool_.limits_; }
+
+std::size_t LinkConnection::load() const { return writes_ ? std::max(open_, limits().spread) : open_; }
+
+void LinkConnection::heard() { heard_at_ = pool_.loop_.now(); }
+
+void LinkConnection::unsent(const Order& order, std::string_view why) { pool_.unsent(*this, order, why); }
+
+// An answer that stops halfway leaves all others on its connection waiting behind it.
+void LinkConnection::due_within(Duration span) {
+  pool_.loop_.cancel(due_timer_);
+  if (span == Duration(0)) return;
+  due_timer_ = pool_.loop_.at(pool_.loop_.now() + span,
+                              [this] { pool_.drop(key_, "an answer that stopped halfway"); });
+}
+
 void LinkConnection::on_connected() {
   pool_.loop_.cancel(dial_timer_);
   pool_.rest(*this);
@@ -39,7 +69,7 @@
 void LinkConnection::break_off(std::string_view why) { pool_.drop(key_, why); }
 
 void LinkConnection::attempt_over() {
-  if (open_ > 0) --open_;
+  if (open_ > 0 && --open_ == 0) writes_ = false;
   pool_.rest(*this);
 }
 
@@ -52,6 +82,7 @@
     loop_.cancel(connection.dial_timer_);
     loop_.cancel(connection.idle_timer_);
     loop_.cancel(connection.silence_timer_);
+    loop_.cancel(connection.due_timer_);
   }
 }
 
@@ -60,18 +91,19 @@
   return found ? found->get() : nullptr;
 }
 
-// A connection with room that never carried this id: attempts of one request share it, and an answer to the
-// one must never be taken for the other's.
+// The connection with the least on it, of those that have room and never carried this id: attempts of one
+// request share it, and an answer to the one must never be taken for the other's.
 LinkConnection* Pool::choose(EngineId engine, const Query* query) {
+  LinkConnection* best = nullptr;
   for (const SlotKey key : engines_[engine].connections) {
     LinkConnection* connection = find(key);
     if (!connection || connection->retired_) continue;
     if (!connection->takes(query)) continue;
     if (query && (connection->open_ >= limits_.per_connection || connection->used_ids_.contains(query->id)))
       continue;
-    return connection;
+    if (!best || connection->load() < best->load()) best = connection;
   }
-  return nullptr;
+  return best;
 }
 
 // At the most connections, an idle one to any engine makes room.
@@ -99,14 +131,22 @@
   return connection;
 }
 
-void Pool::send(const Order& order) {
+void Pool::send(const Order& order) { place(order, {0, loop_.now(), 0}); }
+
+// What is open on a connection ends with it: one spoilt answer must not cost many requests. So few share one,
+// and none a load's, which can't be sent again, as far as there are descriptors.
+void Pool::place(const Order& order, Carried carried) {
   LinkConnection* connection = nullptr;
   if (order.engine < engines_.size()) {
     connection = choose(order.engine, order.query.get());
-    if (!connection) connection = dial(order.engine);
+    const std::size_t most = order.query->writes ? 1 : limits_.spread;
+    if (!connection || (connection->load() >= most && carried.tries == 0)) {
+      if (LinkConnection* fresh = dial(order.engine)) connection = fresh;
+    }
   }
   if (!connection) {
     // Refused at once, out of descriptors or out of connections: nothing was sent. Told after this call.
+    carried_by_.erase(order.key);
     loop_.defer([this, key = order.key] {
       events_.attempt_ended(key, {Outcome::kNoConnection, std::nullopt, ""});
     });
@@ -114,25 +154,56 @@
   }
   loop_.cancel(connection->idle_timer_);
   ++connection->open_;
+  connection->writes_ |= order.query->writes;
   connection->carry(order);
-  if (connection->used_ids_.size() >= kMostIds) connection->retired_ = true;
-  carried_by_[order.key] = connection->key_;
+  carried.connection = connection->key_;
+  carried_by_[order.key] = carried;
   connection->start(order);
   if (connection->open_ == 1) watch_silence(connection->key_);
 }
 
+// A connection that was reset while it was new or idle is no word against its engine, and one more that an
+// engine won't take is none either while others to it work. Only what fails anew, or was refused with nothing
+// else at work there, is told.
+void Pool::unsent(LinkConnection& from, const Order& order, std::string_view why) {
+  const auto found = carried_by_.find(order.key);
+  if (found == carried_by_.end()) return;
+  Carried carried = found->second;
+  const auto& keys = engines_[order.engine].connections;
+  const bool others_work = std::any_of(keys.begin(), keys.end(), [&](SlotKey key) {
+    const LinkConnection* other = find(key);
+    return other != &from && !other->retired_ && loop_.now() - other->heard_at_ < limits_.dial_timeout;
+  });
+  const bool was_up = from.stream_->is_connected() && !from.retired_;
+  if (++carried.tries >= kMostTries || !(was_up || others_work)) {
+    return from.report(order.key, {Outcome::kNoConnection, std::nullopt, std::string(why)});
+  }
+  found->second.connection = 0;
+  loop_.defer([this, again = order, carried]() mutable {
+    if (!carried_by_.contains(again.key)) return;  // called off meanwhile
+    again.budget -= loop_.now() - carried.since;
+    place(again, carried);
+  });
+}
+
 bool Pool::withdraw(AttemptKey key) {
   const auto found = carried_by_.find(key);
   if (found == carried_by_.end()) return false;
-  LinkConnection* connection = find(found->second);
+  const Carried carried = found->second;
+  LinkConnection* connection = find(carried.connection);
   carried_by_.erase(found);
-  return connection && connection->withdraw(key);
+  if (!connection) return carried.connection == 0;  // between two connections: no byte has left
+  // An answer that was lost on its way may have taken the connection with it.
+  if (connection->heard_at_ < carried.since && loop_.now() - carried.since >= limits_.doubt) {
+    connection->retired_ = true;
+  }
+  return connection->withdraw(key);
 }
 
 void Pool::set_rank(AttemptKey key, int rank) {
   const auto found = carried_by_.find(key);
   if (found == carried_by_.end()) return;
-  if (LinkConnection* connection = find(found->second)) connection->set_rank(key, rank);
+  if (LinkConnection* connection = find(found->second.connection)) connection->set_rank(key, rank);
 }
 
 void Pool::probe(EngineId engine) {
@@ -194,11 +265,10 @@
   LinkConnection* connection = find(key);
   if (!connection || limits_.silence == Duration(0)) return;
   loop_.cancel(connection->silence_timer_);
-  connection->heard_ = false;
-  connection->silence_timer_ = loop_.at(loop_.now() + limits_.silence, [this, key] {
+  connection->silence_timer_ = loop_.at(loop_.now() + limits_.silence, [this, key, from = loop_.now()] {
     LinkConnection* quiet = find(key);
     if (!quiet) return;
-    if (!quiet->heard_ && !std::exchange(quiet->retired_, true)) {
+    if (quiet->heard_at_ < from && !std::exchange(quiet->retired_, true)) {
       log_.line(Level::kNotice, "link", "connection fell silent",
                 {{"engine", engines_[quiet->engine_].address.text()}});
     }
@@ -213,6 +283,7 @@
   loop_.cancel(connection->dial_timer_);
   loop_.cancel(connection->idle_timer_);
   loop_.cancel(connection->silence_timer_);
+  loop_.cancel(connection->due_timer_);
   std::erase(engines_[engine].connections, key);
   if (connection->open_ > 0 || connection->probing_) {
     log_.line(Level::kInfo, "link", why,
--- a/src/link/pool.h
+++ b/src/link/pool.h
@@ -2,6 +2,7 @@
 // budgets.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -16,11 +17,18 @@
 
 struct PoolLimits {
   std::size_t most_connections = 256;  // to all engines together
-  std::size_t per_connection = 1;      // attempts that one carries at a time
+  std::size_t per_connection = 1;      // attempts that one carries at a time ...
+  std::size_t spread = 1;              // ... and while there is room for more connections
   Duration dial_timeout = std::chrono::milliseconds(250);
   Duration idle = std::chrono::seconds(10);            // closed after this, well before the engine would
   Duration silence = std::chrono::milliseconds(1500);  // with attempts out: it takes no more. 0: never
   Duration probe_timeout = std::chrono::milliseconds(250);
+  // An answer that has begun is whole after this, or its connection is spoilt. Pages come one after the
+  // other.
+  Duration answer_time = std::chrono::milliseconds(250), page_time = std::chrono::milliseconds(750);
+  // Called off after this without a word on its connection: nobody can tell if that still works.
+  Duration doubt = std::chrono::milliseconds(250);
+  Duration ids_kept = std::chrono::seconds(30);  // the longest that a request may be sent again
 };
 
 class Pool;
@@ -47,26 +55,36 @@
 
  protected:
   friend class Pool;
-  void carry(const Order& order) { used_ids_.insert(order.query->id); }
+  void carry(const Order& order);
   void note(AttemptKey attempt, lemonshift::NoteKind kind, double amount);
   void probe_answered(Outcome outcome, std::optional<LoadReport> report);
   void break_off(std::string_view why);
+  // No byte of it has left: it goes over another connection, or provably never ran.
+  void unsent(const Order& order, std::string_view why);
+  // What has come of an answer must be whole after that time, or the connection is given up. 0: nothing is
+  // due.
+  void due_within(Duration span);
   void attempt_over();  // one less open
   void report(AttemptKey attempt, AttemptEnd end);
-  void heard() { heard_ = true; }
+  void heard();
+  // How much of its room is taken: a load keeps others off while there are other connections.
+  std::size_t load() const;
+  const PoolLimits& limits() const;
 
   Pool& pool_;
   SlotKey key_;
   EngineId engine_;
   std::unique_ptr<Stream> stream_;
   std::size_t open_ = 0;
+  bool writes_ = false;   // something that can't be sent again is open
   bool retired_ = false;  // takes nothing new; closed once nothing is open
   bool probing_ = false;
 
  private:
   std::unordered_set<std::string> used_ids_;
-  bool heard_ = false;  // since the silence was last looked at
-  TimerKey dial_timer_{}, idle_timer_{}, silence_timer_{};
+  std::deque<std::pair<Time, std::string>> ids_by_age_;
+  Time heard_at_{};
+  TimerKey dial_timer_{}, idle_timer_{}, silence_timer_{}, due_timer_{};
 };
 
 class Pool : public EngineLinks {
@@ -93,6 +111,11 @@
   PoolLimits limits_;
 
  private:
+  struct Carried {
+    SlotKey connection = 0;
+    Time since;     // handed over by the core
+    int tries = 0;  // connections that ended before a byte of it had left
+  };
   struct Engine {
     Endpoint address;
     std::vector<SlotKey> connections;
@@ -100,6 +123,8 @@
   };
   LinkConnection* find(SlotKey key);
   LinkConnection* choose(EngineId engine, const Query* query);
+  void place(const Order& order, Carried carried);
+  void unsent(LinkConnection& from, const Order& order, std::string_view why);
   bool make_room();
   void drop(SlotKey key, std::string_view why);
   void watch_silence(SlotKey key);
@@ -108,7 +133,7 @@
 
   std::vector<Engine> engines_;
   SlotTable<std::unique_ptr<LinkConnection>> connections_;
-  std::map<AttemptKey, SlotKey> carried_by_;
+  std::map<AttemptKey, Carried> carried_by_;
 };
 
 }  // namespace rookproxy
--- a/src/net/slots.h
+++ b/src/net/slots.h
@@ -31,6 +31,7 @@
     const std::uint64_t at = key & kSlotMask;
     return at < slots_.size() && slots_[at].key == key && slots_[at].value ? &*slots_[at].value : nullptr;
   }
+  const T* find(SlotKey key) const { return const_cast<SlotTable*>(this)->find(key); }
   // Takes the value out, so that it is destroyed only when the table is whole again.
   std::optional<T> take(SlotKey key) {
     if (!find(key)) return std::nullopt;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -12,6 +12,9 @@
 #include <system_error>
 
 namespace rookproxy {
+namespace {
+constexpr std::size_t kUsualInput = 16 * 1024;
+}
 
 Stream::Stream(Loop& loop, Fd fd, StreamUser& user, bool connecting, std::size_t input_limit)
     : loop_(loop), fd_(std::move(fd)), user_(user), connecting_(connecting), input_limit_(input_limit) {
@@ -111,6 +114,8 @@
     used += now;
   }
   input_.erase(0, used);
+  // One large message must not keep its room for the connection's life.
+  if (input_.empty() && input_.capacity() > 2 * kUsualInput) input_.shrink_to_fit();
 }
 
 void Stream::read_some() {
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -485,6 +485,7 @@
       require(!command, "it got " + command.value_or(""));
       return require(engine.peers.empty() || !engine.peers.at(engine.last).ended(), "its connection ended");
     }
+    if (what == "closed") return require(engine.peers.at(engine.last).at_end(), "still open");
     const auto command = engine.next(kPatience);
     require(command.has_value(), "nothing came");
     const std::string text = rest();
@@ -496,8 +497,9 @@
     const std::string name = word();
     if (!line_engines_.contains(name)) return clients_.at(name).peer.close();
     LineEngine& engine = line_engines_.at(name);
-    if (word() == "listener") engine.listener.reset();
-    engine.peers.clear();
+    const std::string what = word();
+    if (!what.empty()) engine.listener.reset();
+    if (what != "door") engine.peers.clear();
   }
 
   std::istringstream in_;
--- a/tests/dispatch/scenario.h
+++ b/tests/dispatch/scenario.h
@@ -17,7 +17,7 @@
 //   TEXT | send C prepare TEXT | send C execute N [VALUE] | send C again N [VALUE] (types not bound) send C
 //   long N PARAMETER TEXT | send C command HEX expect C ok | expect C prepared | expect C error CODE [TEXT] |
 //   expect C rows N expect executed N TEXT         that often, over all MySQL engines; expect prepared N
-//   TEXT; expect duplicates N expect NAME closed | expect NAME nothing MS | close NAME | close NAME listener
+//   TEXT; expect duplicates N expect NAME closed | expect NAME nothing MS | close NAME | close NAME listener | close NAME door (takes no more)
 //   | wait MS signal TERM|HUP | expect dispatcher exit CODE
 #pragma once
 
--- a/tests/dispatch/scenarios.cpp
+++ b/tests/dispatch/scenarios.cpp
@@ -173,6 +173,91 @@
     expect a nothing 50)");
 }
 
+TEST_CASE("who says nothing, or half a frame, is closed and gives way to who asks") {
+  // Guards against silent connections that shut out usual clients: 12 is the cap here.
+  play(R"(
+    engines a
+    set /limits/sockets 32
+    start
+    client s0
+    client s1
+    client s2
+    client s3
+    client s4
+    client s5
+    client s6
+    client s7
+    client s8
+    client s9
+    client s10
+    client s11
+    client s12
+    client c
+    send c request 1 lookup 3000 SELECT 1
+    expect a REQ
+    send a data parts=1 one\n
+    expect c served 1 one\n
+    expect s0 closed
+    expect s12 closed
+    client h
+    send h hex 0000
+    expect h closed)");
+}
+
+TEST_CASE("frames that begin large and never end share one budget") {
+  // Guards against 266 kB a connection, more than the memory holds: 2 MB of it are for such frames here.
+  play(R"(
+    engines a
+    set /limits/memory_mb 16
+    start
+    client b0
+    send b0 hex 000400000200000001
+    client b1
+    send b1 hex 000400000200000001
+    client b2
+    send b2 hex 000400000200000001
+    client b3
+    send b3 hex 000400000200000001
+    client b4
+    send b4 hex 000400000200000001
+    client b5
+    send b5 hex 000400000200000001
+    client b6
+    send b6 hex 000400000200000001
+    client b7
+    send b7 hex 000400000200000001
+    client c
+    send c hex 000400000200000001
+    expect c refused 1 room
+    client d
+    send d request 1 lookup 3000 SELECT 1
+    expect a REQ)");
+}
+
+TEST_CASE("a request under the id of an open one, or with figures beyond all bounds, goes nowhere") {
+  // Guards against another statement under a usual client's id, and against estimates spoilt by one client.
+  play(R"(
+    engines a
+    start
+    client c
+    client d
+    send c fields 1 op=lookup,call=00000000000000a1,ttl=3000 SELECT 1
+    expect a REQ
+    send d fields 1 op=lookup,call=00000000000000a1,ttl=3000 SELECT 2
+    expect d failed 1 call
+    send d fields 2 op=lookup,call=00000000000000a2,ttl=4294967295 SELECT 2
+    expect d failed 2 ttl
+    send d fields 3 op=lookup,call=00000000000000a3,ttl=3000,work=1e12 SELECT 2
+    expect d failed 3 work
+    send d fields 4 op=lookup,call=00000000000000a4,ttl=3000,memory=1e300 SELECT 2
+    expect d failed 4 memory
+    expect a nothing 50
+    send a data parts=1 one\n
+    expect c served 1 one\n
+    send d fields 5 op=lookup,call=00000000000000a1,ttl=3000 SELECT 1
+    expect a REQ)");
+}
+
 TEST_CASE("an engine that drains gets nothing new") {
   // Guards against sends after the drain's grace, and against losing what waits.
   play(R"(
@@ -219,6 +304,88 @@
     expect c served 1 fine\n)");
 }
 
+TEST_CASE("a spoilt answer costs its own request and no other") {
+  // Guards against many requests on one connection: the lookup is neither lost nor run again with the load.
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 lookup 3000 SELECT 1
+    expect a REQ SELECT 1
+    send c request 2 load 5000 INSERT INTO s_2.t VALUES (1)
+    expect a REQ INSERT
+    send a raw \t\t what is this\r\n
+    expect c failed 2
+    send c abandon 1
+    expect a STOP)");
+}
+
+TEST_CASE("an answer that stops halfway or never comes whole is waited for no longer than it takes") {
+  // Guards against a connection that stays open and is of no use: first an answer is cut, then a page is
+  // missing.
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 lookup 9000 SELECT 1
+    expect a REQ
+    send a raw 0123456789abcdef data parts=1 100\r\nnot all of it
+    expect a REQ
+    send a data parts=2 r0\n
+    expect a FETCH 1
+    expect a REQ
+    send a data parts=1 whole\n
+    expect c served 1 whole\n)");
+}
+
+TEST_CASE("a good answer with more than belongs to it is still good") {
+  // Guards against ending the attempt over a second copy, or over an answer to somebody else's question.
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 load 5000 INSERT INTO s_1.t VALUES (1)
+    expect a REQ
+    send a raw ffffffffffffffff data parts=1 2\r\nno\r\n
+    send a data parts=2 r0\n
+    expect a FETCH 1
+    send a data parts=2 r0\n
+    send a page part_no=1 r1\n
+    send a page part_no=1 r1\n
+    expect c served 1 r0\nr1\n)");
+}
+
+TEST_CASE("a connection on which an attempt was given up unheard is not used again") {
+  // Guards against sending the next request after an answer that was lost, into the same hole.
+  play(R"(
+    engines a
+    set /settings/grades/0/target 60000
+    start
+    client c
+    send c request 1 lookup 800 SELECT 1
+    expect a REQ
+    expect c failed 1
+    expect a STOP
+    expect a closed)");
+}
+
+TEST_CASE("an engine that takes no more connections is served over those it has") {
+  // Guards against taking a full table of connections for an engine that is gone.
+  play(R"(
+    engines a
+    set /settings/permissions/dial_timeout 5000000
+    start
+    client c
+    send c request 1 lookup 9000 SELECT 1
+    expect a REQ
+    send a news detail=frac,value=0.1
+    close a door
+    send c request 2 load 20000 INSERT INTO s_2.t VALUES (1)
+    expect a REQ INSERT
+    send a data parts=1 two\n
+    expect c served 2 two\n)");
+}
+
 TEST_CASE("an engine that refuses connections gets a request nowhere near it") {
   // Guards against 'may have run' where nothing was sent: the load goes on to the other engine.
   play(R"(
