What healthy engines fail is the request's own fault, and MySQL log-ins get past silence

Found by reading: each such answer moved that engine's bad share by 0.3, two in a row shut it, and each request was tried up to six times. Now an engine that has served others within half a second is blamed only once another serves the request; where two such engines fail it, it is answered 'failed' and not tried on (erred, at_fault, blame in src/logic.cpp). One that serves nobody is blamed at once, as before. MySQL front: at its cap it turned new clients away while silent ones had 10 s to log in; now the oldest that has not logged in gives way (MysqlFront::make_room). Tests: 20 bad requests leave three engines open and a sick one is found out; a silent connection at MySQL's cap. Both fail without the change.

--- a/src/front/mysql.cpp
+++ b/src/front/mysql.cpp
@@ -113,6 +113,7 @@
   }
 
   bool is_flushed() const { return stream_.queued() == 0; }
+  bool is_logged_in() const { return state_ == State::kReady || state_ == State::kBusy; }
 
   void answered(Answer answer) {
     request_.reset();
@@ -423,8 +424,20 @@
   return found ? found->get() : nullptr;
 }
 
+// At the cap the oldest that has not logged in gives way: silence must not shut out who has a password.
+bool MysqlFront::make_room() {
+  if (connections_.size() < config_.most_connections) return true;
+  SlotKey oldest = 0;  // keys sort by age
+  for (const SlotKey key : connections_.keys()) {
+    if (!find(key)->is_logged_in() && (oldest == 0 || key < oldest)) oldest = key;
+  }
+  if (oldest == 0) return false;
+  drop(oldest);
+  return true;
+}
+
 void MysqlFront::accept(Fd fd) {
-  if (connections_.size() >= config_.most_connections) {
+  if (!make_room()) {
     // Told as a server tells it, so that the client's library can word it.
     std::uint8_t sequence = 0;
     const std::string packet =
--- a/src/front/mysql.h
+++ b/src/front/mysql.h
@@ -30,6 +30,7 @@
   class Connection;
   void accept(Fd fd);
   void drop(SlotKey key);
+  bool make_room();
   Connection* find(SlotKey key);
   std::string new_id();
 
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -71,7 +71,10 @@
 constexpr double kDownScore = 100, kColdScore = 50;  // of one that does not answer; that may not be sent this
 constexpr double kBadUp = 0.3, kBadKept = 0.7;       // how an error, an answer move an engine's bad share ...
 constexpr double kLostUp = 0.15;                     // ... and a connection that broke
-constexpr double kBadFrom = 0.45;                    // ... and the share from which only a trickle is sent
+constexpr Time kVouched =
+    500'000;                       // one that has served this lately is believed over a request that it fails
+constexpr int kMostDoubted = 2;    // engines so believed that may fail a request: then the fault is its own
+constexpr double kBadFrom = 0.45;  // ... and the share from which only a trickle is sent
 constexpr double kLoadBlocks = 1.5;  // distance added where a load and its group's readers would meet
 constexpr double kLateWorth = 0.15;  // late answers that earn less are not worth an engine's time
 // ---- memory grants over the estimate, where they are heeded: about one in seven spills ----
@@ -108,6 +111,7 @@
   bool may_have_run = true;  // until an outcome proves the contrary
   bool waits = false;        // in the engine's line for memory, said once
   bool silent = false;       // taken for lost: no longer counted in the window
+  bool doubted = false;      // ended in an error that may be the request's own fault
 };
 
 struct Request {
@@ -152,7 +156,7 @@
   int failures = 0;  // in a row
   double bad = 0;    // share of late answers that were errors, recent ones most
   double pace = 1;   // latency over what the class usually takes
-  Time shut_until = 0, paced_at = 0, lost_at = -1;
+  Time shut_until = 0, paced_at = 0, lost_at = -1, served_at = -1;
 };
 
 struct ClassState {
@@ -723,6 +727,24 @@
     empty_queue(e);
   }
 
+  // Engines answer 'error' also to what they can't use, from whoever sends it. One that has just served
+  // others is blamed only once the request is served elsewhere; where two such fail it, it is not tried on.
+  // Could harm where an engine fails some requests only, and those fail everywhere: then it is not found out.
+  void erred(Attempt& a, Engine& e) {
+    a.doubted = e.served_at >= 0 && now_ - e.served_at < kVouched;
+    if (!a.doubted) failed(e, Outcome::kError);
+  }
+  static bool at_fault(const Request& r) {
+    return std::count_if(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.doubted; }) >=
+           kMostDoubted;
+  }
+  void blame(Request& r) {  // it was served: who failed it before was at fault
+    for (auto& a : r.attempts) {
+      const auto found = engines_.find(a.engine);
+      if (std::exchange(a.doubted, false) && found != engines_.end()) failed(found->second, Outcome::kError);
+    }
+  }
+
   // ---- events ---------------------------------------------------------------------------------------------
 
   void on(const EngineList& list) {
@@ -870,9 +892,13 @@
     if (o == Outcome::kServed) {
       lost_ -= kLearn * lost_;
       e.failures = 0;
+      e.served_at = now_;
       e.bad *= kBadKept;
+      blame(r);
       if (!down(e)) e.shut_until = 0;
       if (!stalled_) learn(r, e, ended);
+    } else if (o == Outcome::kError) {
+      erred(a, e);
     } else if (o != Outcome::kNoAnswer && o != Outcome::kCancelled && o != Outcome::kNotSent) {
       failed(e, o);
     }
@@ -882,12 +908,12 @@
       done_.push_back(r.id);
     } else if (r.out == 0) {
       if (can_go_on(r)) return place(r);
-      finish(r, now_ < r.give_up_at);
+      finish(r, now_ < r.give_up_at && !at_fault(r));
     }
   }
 
   bool can_go_on(const Request& r) const {  // a spent budget only holds it back for a while
-    if (r.attempts.size() >= s_.max_attempts || !time_left(r)) return false;
+    if (r.attempts.size() >= s_.max_attempts || !time_left(r) || at_fault(r)) return false;
     return cls(r).effect == Effect::kSafe || !has_run(r) ||
            std::any_of(engines_.begin(), engines_.end(), [&](auto& one) { return allowed(one.second, r); });
   }
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -183,6 +183,10 @@
     if (verb == "configure") return configure(rest());
     if (verb == "client") return connect();
     if (verb == "mysql") return log_in();
+    if (verb == "knock") {
+      clients_.insert_or_assign(word(), Client{Peer::connect(mysql_port_), true, {}});
+      return;
+    }
     if (verb == "send") return send();
     if (verb == "expect") return expect();
     if (verb == "close") return close();
--- a/tests/dispatch/scenarios.cpp
+++ b/tests/dispatch/scenarios.cpp
@@ -484,6 +484,22 @@
     expect duplicates 0)");
 }
 
+TEST_CASE("mysql: who does not log in gives way at the cap, who has is left alone") {
+  // Guards against silent connections that shut out the school's own.
+  play(R"(
+    mysql-engines a
+    set /mysql/most_connections 2
+    start
+    mysql m
+    knock s
+    mysql n
+    expect s closed
+    send m query INSERT INTO s_1.t VALUES (1)
+    expect m ok
+    send n query INSERT INTO s_1.t VALUES (2)
+    expect n ok)");
+}
+
 TEST_CASE("mysql: statements, rows, errors and schemas pass through") {
   play(R"(
     mysql-engines a b
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -767,6 +767,40 @@
   EXPECT_LT(granted, 1010);
 }
 
+TEST(Health, WhatHealthyEnginesFailIsTheRequestsFault) {
+  // Engines answer 'error' to what they can't use: bad clients must not shut them to usual ones.
+  Script s(basic());
+  s.list(0, {engine(0), engine(1), engine(2)});
+  Time now = 1;
+  RequestId id = 1;
+  const auto serve = [&](std::uint64_t group) {
+    s.at(++now, {query(id, group)});
+    ASSERT_EQ(s.sends().size(), 1u);
+    s.at(++now, {ended(id++, 0, s.sends()[0].engine, Outcome::kServed)});
+  };
+  for (std::uint64_t group = 0; group < 40; ++group) serve(group);
+  for (int bad = 0; bad < 20; ++bad, ++id) {
+    s.at(++now, {query(id, static_cast<std::uint64_t>(bad))});
+    ASSERT_EQ(s.sends().size(), 1u);
+    s.at(++now, {ended(id, 0, s.sends()[0].engine, Outcome::kError)});
+    ASSERT_EQ(s.sends().size(), 1u);
+    s.at(++now, {ended(id, 1, s.sends()[0].engine, Outcome::kError)});
+    EXPECT_EQ(s.sends().size(), 0u);
+    EXPECT_EQ(s.all<Fail>().size(), 1u);
+  }
+  for (std::uint64_t group = 0; group < 40; ++group) serve(group);
+  // One that fails what others serve is found out all the same.
+  s.at(++now, {query(id, 7)});
+  const auto sick = s.sends().at(0).engine;
+  s.at(++now, {ended(id, 0, sick, Outcome::kError)});
+  s.at(++now, {ended(id++, 1, s.sends().at(0).engine, Outcome::kServed)});
+  s.at(++now, {query(id, 7)});
+  s.at(++now, {ended(id, 0, s.sends().at(0).engine, Outcome::kError)});
+  s.at(++now, {ended(id++, 1, s.sends().at(0).engine, Outcome::kServed)});
+  s.at(++now, {query(id, 7)});
+  EXPECT_NE(s.sends().at(0).engine, sick);
+}
+
 TEST(Deterministic, TheSameEventsGiveTheSameActions) {
   const auto run = [] {
     auto settings = with_cold();
