The operators' address, with STATUS, METRICS and figures counted where they happen

Done: src/ops (a line a connection, a bound on the line, a deadline, a cap at which the first comer gives way), core/figures.h, one counter for each event: outcomes in Dispatcher::finish by what the front told, attempts in Stream::flush at the last byte, engines avoided by Router::avoided, SIGHUPs in App::reload.

--- a/include/lemonshift/router.h
+++ b/include/lemonshift/router.h
@@ -250,6 +250,8 @@
   Router& operator=(Router&&) noexcept;
   // Takes all that happened at `now` and appends what to do, in order.
   void handle(Time now, const std::vector<Event>& events, std::vector<Action>& actions);
+  // How many of the listed engines get no new work now, or a trickle: draining, failing or out of reach.
+  std::size_t avoided(Time now) const;
 
  private:
   class Impl;
--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -1,5 +1,6 @@
 #include "app/app.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 
@@ -11,6 +12,8 @@
 // Clients hold at most a third of the descriptors; a little more is let in for connections on their way out.
 std::size_t client_share(std::size_t sockets) { return sockets * 2 / 5; }
 std::size_t engine_share(std::size_t sockets) { return sockets * 2 / 5; }
+// Set aside for operators' calls, which neither clients nor engines may take.
+std::size_t ops_share(std::size_t sockets) { return std::clamp<std::size_t>(sockets / 16, 2, 32); }
 // Statements and results may take this part of the memory; buffers, tables and the module have the rest.
 std::size_t held_share(std::size_t memory_mb) { return (memory_mb << 20) / 4; }
 
@@ -55,17 +58,17 @@
 }  // namespace
 
 App::App(Loop& loop, Log& log, const Config& config)
-    : loop_(loop), log_(log), core_(loop, log, config.settings, config.zones, core_limits(config)) {
+    : loop_(loop), log_(log), core_(loop, log, figures_, config.settings, config.zones, core_limits(config)) {
   PoolLimits limits = pool_limits(config);
   if (config.link == LinkKind::kMysql) {
     limits.per_connection = 1;     // a session runs one statement at a time
     limits.silence = Duration(0);  // and says nothing until it has an answer
     const auto& account = config.mysql_link;
-    links_ = std::make_unique<MysqlPool>(loop, log, core_, limits,
+    links_ = std::make_unique<MysqlPool>(loop, log, core_, figures_, limits,
                                          MysqlAccount{account.user, account.password, account.schema},
                                          kMostResult, held_share(config.memory_mb));
   } else {
-    links_ = std::make_unique<LinesPool>(loop, log, core_, limits);
+    links_ = std::make_unique<LinesPool>(loop, log, core_, figures_, limits);
   }
   core_.use(*links_);
   core_.learn_members(config.known, true);
@@ -84,6 +87,12 @@
                                           *config.mysql, config.seed);
     log.line(Level::kNotice, "start", "serving mysql", {{"port", std::to_string(mysql_->port())}});
   }
+  if (config.ops) {
+    OpsServer::Limits callers;
+    callers.most_callers = ops_share(config.sockets);
+    ops_ = std::make_unique<OpsServer>(loop, listener_at(*config.ops, "ops"), *this, callers);
+    log.line(Level::kNotice, "start", "answering operators", {{"port", std::to_string(ops_->port())}});
+  }
   loop.each_turn([this] { core_.settle(); });
 }
 
@@ -99,7 +108,17 @@
   }
 }
 
-void App::reload(const Config& config) {
+void App::reload(const std::function<Config()>& load) {
+  try {
+    take_over(load());
+    ++figures_.loads;
+  } catch (const std::exception& fault) {
+    ++figures_.load_errors;
+    log_.line(Level::kError, "config", std::string("the former settings stay: ") + fault.what(), {});
+  }
+}
+
+void App::take_over(const Config& config) {
   configure_log(log_, config.log);
   find_engines(config);
   // With a directory the file's list is that of some start, perhaps long ago: the directory knows better.
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -10,30 +10,37 @@
 #include "front/mysql.h"
 #include "link/lines.h"
 #include "link/mysql.h"
+#include "ops/ops.h"
 
 namespace rookproxy {
 
-class App {
+class App final : public OpsSource {
  public:
   App(Loop& loop, Log& log, const Config& config);
   // Takes over what a new configuration says and a running dispatcher can change: the directory's address,
   // the fixed list of engines, the log, the MySQL front's users, times and cap. Requests and the list's
-  // serial go on.
-  void reload(const Config& config);
+  // serial go on. If `load` throws, the former settings stay: a bad file must not end what serves.
+  void reload(const std::function<Config()>& load);
   // Not ready any more; what still comes is served, and the loop stops once nothing is open.
   void drain();
 
  private:
+  std::string why_not_ready() const override { return draining_ ? "draining" : ""; }
+  const Figures& figures() const override { return figures_; }
+  Gauges gauges() const override { return core_.gauges(); }
+  void take_over(const Config& config);
   void find_engines(const Config& config);
   void stop_when_idle();
 
   Loop& loop_;
   Log& log_;
+  Figures figures_;
   Dispatcher core_;
   std::unique_ptr<Pool> links_;
   std::unique_ptr<DnsDirectory> directory_;
   std::unique_ptr<FramesFront> frames_;
   std::unique_ptr<MysqlFront> mysql_;
+  std::unique_ptr<OpsServer> ops_;
   Time stop_from_{};
   bool draining_ = false;
 };
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -184,6 +184,7 @@
   Config config;
   config.name = reader.text_or("name", config.name);
   if (reader.has("listen")) config.listen = reader.endpoint("listen");
+  if (reader.has("ops")) config.ops = reader.endpoint("ops");
   if (reader.has("seed")) {
     const std::string seed = reader.text("seed");
     const auto read = parse_number<std::uint64_t>(seed, 16);
@@ -229,7 +230,7 @@
   return config;
 }
 
-Config load_config(const std::string& platform, const std::string& operators) {
+Config load_config(const std::string& platform, const std::string& operators, const std::string& ops) {
   json document = json::object();
   if (!platform.empty()) {
     try {
@@ -238,6 +239,7 @@
       throw ConfigError(platform, fault.what());
     }
   }
+  if (!ops.empty()) document["ops"] = ops;
   if (!operators.empty()) document.merge_patch(read_toml(operators));
   return read_config(document);
 }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -41,6 +41,7 @@
 struct Config {
   std::string name = "rookproxy";
   std::optional<Endpoint> listen;  // the platform's front
+  std::optional<Endpoint> ops;     // where operators call
   std::uint64_t seed = 1;
   std::size_t memory_mb = 192, sockets = 1024;
   std::optional<Endpoint> nameserver;
@@ -61,8 +62,8 @@
 };
 
 // `platform` is the path of the platform's JSON file, `operators` that of an operator's TOML file; either may
-// be empty. Where both name a key, the operator's file wins.
-Config load_config(const std::string& platform, const std::string& operators);
+// be empty. Where both name a key, the operator's file wins; `ops`, if given, wins over the platform's key.
+Config load_config(const std::string& platform, const std::string& operators, const std::string& ops = "");
 Config read_config(const nlohmann::json& document);
 
 // A whole file's text, or a ConfigError that names it.
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -23,14 +23,17 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(Loop& loop, Log& log, const lemonshift::Settings& settings,
+Dispatcher::Dispatcher(Loop& loop, Log& log, Figures& figures, const lemonshift::Settings& settings,
                        std::vector<std::string> zones, CoreLimits limits)
     : loop_(loop),
       log_(log),
+      figures_(figures),
       settings_(settings),
       zones_(std::move(zones)),
       limits_(limits),
-      router_(settings) {}
+      router_(settings) {
+  for (const auto& cls : settings_.classes) figures_.by_class[cls.name];  // shown from the start, as 0
+}
 
 std::optional<lemonshift::ClassIndex> Dispatcher::class_named(std::string_view name) const {
   for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
@@ -226,7 +229,26 @@
       answer.detail = request->last_error;
     }
   }
-  if (asker) asker->on_answer(ticket, std::move(answer));
+  // Nobody is told: it stands under no count.
+  if (asker) count(request->arrival.cls, asker->on_answer(ticket, std::move(answer)));
+}
+
+void Dispatcher::turned_away(lemonshift::ClassIndex cls, Verdict verdict) { count(cls, verdict); }
+
+void Dispatcher::count(lemonshift::ClassIndex cls, Verdict verdict) {
+  ClassFigures& figures = figures_.by_class[settings_.classes[cls].name];
+  ++(verdict == Verdict::kServed    ? figures.served
+     : verdict == Verdict::kRefused ? figures.refused
+                                    : figures.failed);
+}
+
+Gauges Dispatcher::gauges() const {
+  Gauges gauges;
+  gauges.in_progress = unanswered_;
+  gauges.engines_listed = static_cast<std::size_t>(std::count_if(
+      engines_.begin(), engines_.end(), [](const Engine& e) { return e.told.state != EngineState::kGone; }));
+  gauges.engines_avoided = router_.avoided(to_module(loop_.now()));
+  return gauges;
 }
 
 void Dispatcher::release_if_done(RequestKey key) {
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/figures.h"
 #include "core/interfaces.h"
 #include "log/log.h"
 #include "net/loop.h"
@@ -28,8 +29,8 @@
 
 class Dispatcher final : public LinkEvents {
  public:
-  Dispatcher(Loop& loop, Log& log, const lemonshift::Settings& settings, std::vector<std::string> zones,
-             CoreLimits limits);
+  Dispatcher(Loop& loop, Log& log, Figures& figures, const lemonshift::Settings& settings,
+             std::vector<std::string> zones, CoreLimits limits);
 
   void use(EngineLinks& links) { links_ = &links; }
   const lemonshift::Settings& settings() const { return settings_; }
@@ -40,6 +41,9 @@
   void asker_gone(RequestKey key);
   // Also those that are answered, or left by their clients, and still run: stopping would cut a load in half.
   std::size_t open_requests() const { return requests_.size(); }
+  // A front has answered by itself what never became a request; its class is known.
+  void turned_away(lemonshift::ClassIndex cls, Verdict verdict);
+  Gauges gauges() const;
 
   // ---- from a directory
   void learn_members(const std::vector<Member>& members, bool remembered);
@@ -89,10 +93,12 @@
   void cancel_attempt(RequestKey key, std::uint32_t number);
   void finish(RequestKey key, Answer answer);
   void release_if_done(RequestKey key);
+  void count(lemonshift::ClassIndex cls, Verdict verdict);
   Attempt* attempt(AttemptKey key);
 
   Loop& loop_;
   Log& log_;
+  Figures& figures_;
   lemonshift::Settings settings_;
   std::vector<std::string> zones_;
   CoreLimits limits_;
--- a/src/core/interfaces.h
+++ b/src/core/interfaces.h
@@ -65,7 +65,8 @@
 // Where a request came from. `ticket` is the front's own.
 class Asker {
  public:
-  virtual void on_answer(std::uint64_t ticket, Answer answer) = 0;
+  // Returns what its client is told, which is what counts: an answer may not fit the front's protocol.
+  virtual Verdict on_answer(std::uint64_t ticket, Answer answer) = 0;
 
  protected:
   ~Asker() = default;
--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -298,31 +298,36 @@
       return found->second;
     };
     const auto call = field("call"), op = field("op"), ttl_text = field("ttl");
-    if (!call || !is_call_id(*call)) return reject(frame.stream, "field call: not 16 hex digits");
     const auto cls = op ? front_.core_.class_named(*op) : std::nullopt;
-    if (!cls) return reject(frame.stream, "field op: unknown class");
+    const auto unusable = [&](std::string_view why) {
+      if (cls) front_.core_.turned_away(*cls, Verdict::kFailed);
+      reject(frame.stream, why);
+    };
+    if (!call || !is_call_id(*call)) return unusable("field call: not 16 hex digits");
+    if (!cls) return unusable("field op: unknown class");
     const auto ttl = ttl_text ? parse_number<std::uint32_t>(*ttl_text) : std::nullopt;
-    if (!ttl || *ttl == 0) return reject(frame.stream, "field ttl: not a positive number of milliseconds");
+    if (!ttl || *ttl == 0) return unusable("field ttl: not a positive number of milliseconds");
     const Duration patience = std::chrono::milliseconds(*ttl);
     const auto& settings = front_.core_.settings().classes[*cls];
     if (patience > kMostDeadlines * span_from_module(settings.deadline)) {
-      return reject(frame.stream, "field ttl: far beyond what its class may take");
+      return unusable("field ttl: far beyond what its class may take");
     }
     std::optional<double> work, memory;
     if (const auto text = field("work")) {
       work = amount(*text);
-      if (!work || *work > kMostWork) return reject(frame.stream, "field work: not an amount");
+      if (!work || *work > kMostWork) return unusable("field work: not an amount");
     }
     if (const auto text = field("memory")) {
       memory = amount(*text);
-      if (!memory || *memory > kMostMemory) return reject(frame.stream, "field memory: not an amount");
+      if (!memory || *memory > kMostMemory) return unusable("field memory: not an amount");
     }
     // Engines know requests by it: under one that is open, another statement would end or answer the wrong
     // one.
     if (front_.open_calls_.contains(std::string(*call))) {
-      return reject(frame.stream, "field call: open already");
+      return unusable("field call: open already");
     }
     if (open_.size() >= front_.limits_.most_open) {
+      front_.core_.turned_away(*cls, Verdict::kRefused);
       return answer(frame.stream, frames::kRefused, {{"pushback", "1000"}}, "too many open requests here");
     }
     Arrival arrival;
@@ -413,11 +418,10 @@
   loop_.defer([kept] {});
 }
 
-void FramesFront::on_answer(std::uint64_t ticket, Answer answer) {
+Verdict FramesFront::on_answer(std::uint64_t ticket, Answer answer) {
   const auto known = take_ticket(ticket);
-  if (!known) return;
-  Connection* connection = find(known->connection);
-  if (!connection) return;
+  Connection* connection = known ? find(known->connection) : nullptr;
+  if (!connection) return answer.verdict;
   if (answer.verdict == Verdict::kServed && answer.body.size() + 1024 > frames::kMostLength) {
     answer = {Verdict::kFailed, "", std::nullopt, Cause::kEngineError, "the result is larger than a frame"};
   }
@@ -430,6 +434,7 @@
   } else {
     connection->answer(known->stream, frames::kFailed, {}, cause_text(answer));
   }
+  return answer.verdict;
 }
 
 void FramesFront::drain() {
--- a/src/front/frames.h
+++ b/src/front/frames.h
@@ -61,7 +61,7 @@
   FramesFront(Loop& loop, Log& log, Dispatcher& core, Fd listener, Limits limits);
   ~FramesFront();
 
-  void on_answer(std::uint64_t ticket, Answer answer) override;
+  Verdict on_answer(std::uint64_t ticket, Answer answer) override;
   // No longer ready: every connection is told; what still comes is served.
   void drain();
   bool is_flushed();
--- a/src/front/mysql.cpp
+++ b/src/front/mysql.cpp
@@ -457,8 +457,10 @@
   loop_.defer([kept] {});
 }
 
-void MysqlFront::on_answer(std::uint64_t ticket, Answer answer) {
+Verdict MysqlFront::on_answer(std::uint64_t ticket, Answer answer) {
+  const Verdict verdict = answer.verdict;
   if (Connection* connection = find(ticket)) connection->answered(std::move(answer));
+  return verdict;
 }
 
 void MysqlFront::reload(const MysqlFrontConfig& config) {
--- a/src/front/mysql.h
+++ b/src/front/mysql.h
@@ -18,7 +18,7 @@
              std::uint64_t seed);
   ~MysqlFront();
 
-  void on_answer(std::uint64_t ticket, Answer answer) override;
+  Verdict on_answer(std::uint64_t ticket, Answer answer) override;
   // Users, deadlines, idle time and cap of a new configuration; the address and the classes stay.
   void reload(const MysqlFrontConfig& config);
   // Takes no new connections; those that are open are served until the program ends.
--- a/src/link/lines.cpp
+++ b/src/link/lines.cpp
@@ -99,7 +99,7 @@
   bytes += "\r\n";
   Open open;
   open.order = order;
-  open.ticket = stream_->write(std::move(bytes));
+  open.ticket = stream_->write(std::move(bytes), attempts_written());
   open_by_id_[order.query->id] = std::move(open);
 }
 
--- a/src/link/mysql.cpp
+++ b/src/link/mysql.cpp
@@ -43,8 +43,8 @@
   return schema_.empty() || !query->schema.empty() || !mysql_.account_.schema.empty();
 }
 
-Stream::Ticket MysqlConnection::send(std::string_view payload) {
-  return stream_->write(mysql::packets(payload, sequence_));
+Stream::Ticket MysqlConnection::send(std::string_view payload, std::uint64_t* written) {
+  return stream_->write(mysql::packets(payload, sequence_), written);
 }
 
 void MysqlConnection::command(State next, std::uint8_t code, std::string_view rest) {
@@ -57,7 +57,8 @@
   first_payload_.clear();
   std::string payload(1, static_cast<char>(code));
   payload += rest;
-  const Stream::Ticket ticket = send(payload);
+  // Only what makes it run is the attempt; a schema or a preparation ahead of it is not.
+  const Stream::Ticket ticket = send(payload, next == State::kRun ? attempts_written() : nullptr);
   if (next == State::kRun) begun_ = ticket;
 }
 
--- a/src/link/mysql.h
+++ b/src/link/mysql.h
@@ -37,7 +37,7 @@
   };
 
   void command(State next, std::uint8_t code, std::string_view rest);
-  Stream::Ticket send(std::string_view payload);
+  Stream::Ticket send(std::string_view payload, std::uint64_t* written = nullptr);
   void take_login(std::string_view payload);
   void prove(std::string_view plugin, std::string_view nonce);
   void go_on();  // the next step of what is ordered, or of a probe
@@ -65,9 +65,9 @@
 
 class MysqlPool final : public Pool {
  public:
-  MysqlPool(Loop& loop, Log& log, LinkEvents& events, PoolLimits limits, MysqlAccount account,
-            std::size_t most_result, std::size_t most_results)
-      : Pool(loop, log, events, limits),
+  MysqlPool(Loop& loop, Log& log, LinkEvents& events, Figures& figures, PoolLimits limits,
+            MysqlAccount account, std::size_t most_result, std::size_t most_results)
+      : Pool(loop, log, events, figures, limits),
         account_(std::move(account)),
         most_result_(most_result),
         most_results_(most_results) {}
--- a/src/link/pool.cpp
+++ b/src/link/pool.cpp
@@ -29,6 +29,7 @@
 }
 
 const PoolLimits& LinkConnection::limits() const { return pool_.limits_; }
+std::uint64_t* LinkConnection::attempts_written() const { return &pool_.figures_.attempts_written; }
 
 std::size_t LinkConnection::load() const { return writes_ ? std::max(open_, limits().spread) : open_; }
 
@@ -73,8 +74,8 @@
   pool_.rest(*this);
 }
 
-Pool::Pool(Loop& loop, Log& log, LinkEvents& events, PoolLimits limits)
-    : loop_(loop), log_(log), events_(events), limits_(limits) {}
+Pool::Pool(Loop& loop, Log& log, LinkEvents& events, Figures& figures, PoolLimits limits)
+    : loop_(loop), log_(log), events_(events), figures_(figures), limits_(limits) {}
 
 Pool::~Pool() {
   for (const SlotKey key : connections_.keys()) {
--- a/src/link/pool.h
+++ b/src/link/pool.h
@@ -9,6 +9,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "core/figures.h"
 #include "core/interfaces.h"
 #include "log/log.h"
 #include "net/stream.h"
@@ -70,6 +71,8 @@
   // How much of its room is taken: a load keeps others off while there are other connections.
   std::size_t load() const;
   const PoolLimits& limits() const;
+  // Counts up when an attempt has been written to its last byte.
+  std::uint64_t* attempts_written() const;
 
   Pool& pool_;
   SlotKey key_;
@@ -89,7 +92,7 @@
 
 class Pool : public EngineLinks {
  public:
-  Pool(Loop& loop, Log& log, LinkEvents& events, PoolLimits limits);
+  Pool(Loop& loop, Log& log, LinkEvents& events, Figures& figures, PoolLimits limits);
   virtual ~Pool();
 
   void send(const Order& order) override;
@@ -108,6 +111,7 @@
   Loop& loop_;
   Log& log_;
   LinkEvents& events_;
+  Figures& figures_;
   PoolLimits limits_;
 
  private:
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -228,6 +228,13 @@
     }
   }
 
+  std::size_t avoided(Time now) const {
+    return static_cast<std::size_t>(std::count_if(engines_.begin(), engines_.end(), [&](const auto& one) {
+      const Engine& e = one.second;
+      return e.told.state != EngineState::kGone && (!serves(e) || down(e) || now < e.shut_until);
+    }));
+  }
+
  private:
   // ---- affinity: the paper's load-balanced distance -------------------------------------------------------
 
@@ -1097,4 +1104,6 @@
   impl_->handle(now, events, actions);
 }
 
+std::size_t Router::avoided(Time now) const { return impl_->avoided(now); }
+
 }  // namespace lemonshift
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -19,7 +19,7 @@
     "  --check    reads the configuration, says what is wrong with it, and exits\n"
     "  --help     this text\n"
     "\n"
-    "$NODE_CONFIG is the path of the platform's JSON configuration.\n"
+    "$NODE_CONFIG is the path of the platform's JSON configuration, $NODE_OPS the address for operators.\n"
     "Exit codes: 0 stopped after a drain, 1 failed while running, 2 bad usage or configuration.\n";
 
 }  // namespace
@@ -27,8 +27,13 @@
 int main(int argc, char** argv) {
   using namespace rookproxy;
   return run_program(argc, argv, "rookproxy", kHelp, false, [](const ProgramOptions& options, Log& log) {
-    const char* platform = std::getenv("NODE_CONFIG");
-    const auto load = [&] { return load_config(platform ? platform : "", options.file); };
+    const auto environment = [](const char* name) {
+      const char* value = std::getenv(name);
+      return std::string(value ? value : "");
+    };
+    const auto load = [&] {
+      return load_config(environment("NODE_CONFIG"), options.file, environment("NODE_OPS"));
+    };
     const Config config = load();
     if (options.check) return report_fine();
     log.set_host(config.name);
@@ -37,11 +42,7 @@
     App app(loop, log, config);
     Signals signals(loop, {SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
       if (signal != SIGHUP) return app.drain();
-      try {
-        app.reload(load());
-      } catch (const std::exception& fault) {  // a file that can't be read must not end what serves
-        log.line(Level::kError, "config", std::string("the former settings stay: ") + fault.what(), {});
-      }
+      app.reload(load);
     });
     loop.run();
     // Connections still open are closed by the kernel; taking the tables down one by one would serve nobody.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -49,10 +49,10 @@
   flush();
 }
 
-Stream::Ticket Stream::write(std::string bytes) {
+Stream::Ticket Stream::write(std::string bytes, std::uint64_t* written) {
   const Ticket ticket = next_++;
   queued_ += bytes.size();
-  output_.push_back({ticket, std::move(bytes)});
+  output_.push_back({ticket, std::move(bytes), written});
   if (!connecting_ && output_.size() == 1) flush();
   return ticket;
 }
@@ -98,6 +98,7 @@
     while (!output_.empty() && front_sent_ >= output_.front().bytes.size()) {
       front_sent_ -= output_.front().bytes.size();
       first_unbegun_ = output_.front().ticket + 1;
+      if (output_.front().written) ++*output_.front().written;
       output_.pop_front();
     }
     if (front_sent_ > 0) first_unbegun_ = output_.front().ticket + 1;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -38,7 +38,8 @@
   Stream(const Stream&) = delete;
   Stream& operator=(const Stream&) = delete;
 
-  Ticket write(std::string bytes);
+  // `written` counts up once the last byte of it is with the kernel.
+  Ticket write(std::string bytes, std::uint64_t* written = nullptr);
   // True if no byte of that piece had left: it is gone, and the peer never saw it.
   bool take_back(Ticket ticket);
   // Has a byte of it been handed to the kernel? From then on the peer may have seen it.
@@ -58,6 +59,7 @@
   struct Piece {
     Ticket ticket;
     std::string bytes;
+    std::uint64_t* written;
   };
   void on_ready(std::uint32_t events) override;
   void read_some();
--- a/tests/dispatch/parts.cpp
+++ b/tests/dispatch/parts.cpp
@@ -193,7 +193,7 @@
 struct CoreBench final : Asker, EngineLinks {
   explicit CoreBench(
       lemonshift::Settings settings = read_config(read_toml(ROOKPROXY_ROOT "/deploy/mysql.toml")).settings)
-      : log(text, Level::kDebug, "h", "a"), core(loop, log, settings, {"addis-dc1"}, {}) {
+      : log(text, Level::kDebug, "h", "a"), core(loop, log, figures, settings, {"addis-dc1"}, {}) {
     core.use(*this);
     loop.each_turn([this] { core.settle(); });
   }
@@ -225,7 +225,10 @@
     return holds();
   }
 
-  void on_answer(std::uint64_t, Answer answer) override { answers.push_back(std::move(answer)); }
+  Verdict on_answer(std::uint64_t, Answer answer) override {
+    answers.push_back(std::move(answer));
+    return answers.back().verdict;
+  }
   void send(const Order& order) override { orders.push_back(order); }
   bool withdraw(AttemptKey key) override {
     withdrawn.push_back(key);
@@ -239,6 +242,7 @@
   std::ostringstream text;
   Loop loop;
   Log log;
+  Figures figures;
   Dispatcher core;
   std::uint64_t asked = 0;
   bool unsent = false;
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -49,7 +49,8 @@
 }
 
 json base_config() {
-  return json::parse(R"({"name":"t1","listen":"127.0.0.1:0","seed":"1f","limits":{"cores":1.0,"memory_mb":192,
+  return json::parse(
+      R"({"name":"t1","listen":"127.0.0.1:0","ops":"127.0.0.1:0","seed":"1f","limits":{"cores":1.0,"memory_mb":192,
     "sockets":1024},"directory_poll_ms":20,"log":{"level":"debug"},"known":{"offset":1,"batch":[]},"settings":{
     "fleet_size":1,"ordinal":0,"localities":["z"],"zone":"z","models":["m"],"membership_mode":"automatic","grades":[
     {"name":"lookup","effect":"pure","value":1.0,"target":600000,"aim_stretch":1.5,"deadline":3000000,"late_worth":0.1},
@@ -181,6 +182,8 @@
     if (verb == "directory") return directory();
     if (verb == "move") return move_directory();
     if (verb == "configure") return configure(rest());
+    if (verb == "call") return static_cast<void>(answer_ = call_operators(rest()));
+    if (verb == "hold") return hold();
     if (verb == "client") return connect();
     if (verb == "mysql") return log_in();
     if (verb == "knock") {
@@ -257,6 +260,41 @@
     }
   }
 
+  std::uint16_t ops_port() {
+    process_.wait_for("answering operators");
+    const std::string log = process_.log();
+    const auto line = log.substr(0, log.find(" answering operators")).rfind("port=\"");
+    return static_cast<std::uint16_t>(std::stoi(log.substr(line + 6)));
+  }
+
+  // One call, and its answer up to the end of the connection.
+  std::string call_operators(const std::string& line) {
+    Peer peer = Peer::connect(ops_port());
+    peer.send(line + "\n");
+    require(peer.at_end(), "the connection stays open");
+    return peer.buffer();
+  }
+
+  void hold() {
+    const int count = std::stoi(word());
+    const std::string text = rest();
+    for (int i = 0; i < count; ++i) {
+      held_.push_back(Peer::connect(ops_port()));
+      held_.back().send(text);
+    }
+  }
+
+  // Figures may be a little late.
+  void expect_figure(const std::string& wanted) {
+    const auto until = std::chrono::steady_clock::now() + kPatience;
+    for (;;) {
+      const std::string all = call_operators("METRICS");
+      if (all.find("\nsvc." + wanted + "\n") != std::string::npos) return;
+      require(std::chrono::steady_clock::now() < until, "the figures are\n" + all);
+      std::this_thread::sleep_for(5ms);
+    }
+  }
+
   // Writes the file anew: as it stands, or with that text.
   void configure(const std::string& text) {
     config_["nameserver"] = "127.0.0.1:" + std::to_string(directory_->port());
@@ -468,6 +506,10 @@
 
   void expect() {
     const std::string name = word();
+    if (name == "figure") return expect_figure(rest());
+    if (name == "answer") {
+      return require(answer_.find(rest()) != std::string::npos, "the answer is\n" + answer_);
+    }
     if (name == "log") return static_cast<void>(process_.wait_for(rest()));
     if (name == "executed" || name == "prepared" || name == "duplicates") return expect_count(name);
     const std::string what = word();
@@ -513,6 +555,8 @@
   std::map<std::string, LineEngine> line_engines_;
   std::map<std::string, std::unique_ptr<MysqlStandIn>> mysql_engines_;
   std::map<std::string, Client> clients_;
+  std::vector<Peer> held_;
+  std::string answer_;
   Process process_;
   std::uint16_t frames_port_ = 0, mysql_port_ = 0;
   std::uint64_t calls_ = 0;
--- a/tests/dispatch/scenario.h
+++ b/tests/dispatch/scenario.h
@@ -25,6 +25,10 @@
 //   expect duplicates N             loads that ran more than once
 //   expect NAME closed | expect NAME nothing MS | close NAME | wait MS
 //   close A listener | close A door both take no more connections; the first ends those that are open
+//   call TEXT                       one line to the operators' address; its answer is kept
+//   expect answer TEXT              that answer, in part
+//   expect figure NAME=VALUE        waits until METRICS shows svc.NAME=VALUE
+//   hold N [TEXT]                   N connections to the operators' address, with no whole call on them
 //   expect log TEXT                 waits until the dispatcher's log holds it
 //   expect dispatcher exit CODE
 // clang-format on
