Upgrades: a passed socket, a door that opens when ready, and two processes in one limit

Done: descriptor 3 is checked and adopted (net/fd.cpp adopt_listener), watched only while this process accepts (Acceptor::start, stop); App::become_ready opens the door once the directory has answered; Siblings (record locks) says who lives and who is ready; shares are halved while two live; a draining process leaves the door to a ready successor and waits for requests that are on their way in. Ruled out: that remains in the folder say anything (locks end with their process), that the listening socket needs SO_REUSEPORT.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -49,17 +49,44 @@
   return limits;
 }
 
+// A starting process waits so long for the directory; what it was told at its start has to do then.
+constexpr Duration kDirectoryWait = std::chrono::milliseconds(500);
+constexpr Duration kLookForSiblings = std::chrono::milliseconds(100);
+// A request is written in 2 s at most: no longer is one waited for that is on its way in.
+constexpr Duration kPiecesEnd = std::chrono::milliseconds(2600);
+
+std::string siblings_file(const Config& config) {
+  std::string name = config.name;
+  std::replace(name.begin(), name.end(), '/', '_');
+  return config.shared_folder + "/rookproxy-" + name + ".locks";
+}
+
 Fd listener_at(const Endpoint& at, const char* key) {
   Fd fd = listen_tcp(at);
   if (!fd) throw ConfigError(key, "can't listen on " + at.text() + ": " + std::strerror(errno));
   return fd;
 }
 
+Fd clients_listener(const Config& config) {
+  if (!config.passed_socket) return listener_at(*config.listen, "listen");
+  Fd fd = adopt_listener(*config.passed_socket);
+  if (!fd) {
+    throw ConfigError("passed_socket", "descriptor " + std::to_string(*config.passed_socket) +
+                                           " is no TCP socket that listens: " + std::strerror(errno));
+  }
+  return fd;
+}
+
 }  // namespace
 
 App::App(Loop& loop, Log& log, const Config& config)
-    : loop_(loop), log_(log), core_(loop, log, figures_, config.settings, config.zones, core_limits(config)) {
-  PoolLimits limits = pool_limits(config);
+    : loop_(loop),
+      log_(log),
+      core_(loop, log, figures_, config.settings, config.zones, core_limits(config)),
+      sockets_(config.sockets),
+      memory_mb_(config.memory_mb) {
+  PoolLimits& limits = pool_limits_;
+  limits = pool_limits(config);
   if (config.link == LinkKind::kMysql) {
     limits.per_connection = 1;     // a session runs one statement at a time
     limits.silence = Duration(0);  // and says nothing until it has an answer
@@ -75,10 +102,13 @@
   core_.settle();
   find_engines(config);
   if (config.listen) {
-    FramesFront::Limits clients;
-    clients.most_connections = client_share(config.sockets);
-    clients.most_unfinished = clients.most_untaken = (config.memory_mb << 20) / 8;
-    frames_ = std::make_unique<FramesFront>(loop, log, core_, listener_at(*config.listen, "listen"), clients);
+    frames_ =
+        std::make_unique<FramesFront>(loop, log, core_, clients_listener(config), FramesFront::Limits());
+    if (config.passed_socket) siblings_.emplace(siblings_file(config));
+    if (siblings_ && !siblings_->has_seat()) {
+      log.line(Level::kWarning, "start", "no lock in the shared folder: taken to be alone",
+               {{"folder", config.shared_folder}});
+    }
     log.line(Level::kNotice, "start", "serving frames",
              {{"port", std::to_string(frames_->port())}, {"engines", std::to_string(config.known.size())}});
   }
@@ -93,9 +123,46 @@
     ops_ = std::make_unique<OpsServer>(loop, listener_at(*config.ops, "ops"), *this, callers);
     log.line(Level::kNotice, "start", "answering operators", {{"port", std::to_string(ops_->port())}});
   }
+  resize();
+  if (siblings_) share_with_siblings();
+  become_ready(loop.now() + kDirectoryWait);
   loop.each_turn([this] { core_.settle(); });
 }
 
+std::string App::why_not_ready() const { return draining_ ? "draining" : ready_ ? "" : "starting"; }
+
+// Nothing is accepted until the directory has been heard: what waits at the socket is not lost meanwhile.
+void App::become_ready(Time at_the_latest) {
+  if (directory_ && !directory_->has_answered() && loop_.now() < at_the_latest) {
+    loop_.at(loop_.now() + std::chrono::milliseconds(5),
+             [this, at_the_latest] { become_ready(at_the_latest); });
+    return;
+  }
+  ready_ = true;
+  if (frames_) frames_->accept_clients(true);
+  if (siblings_ && !draining_) siblings_->say_ready(true);
+  log_.line(Level::kNotice, "start", "ready to serve", {});
+}
+
+void App::share_with_siblings() {
+  const bool shared = siblings_->another_lives();
+  if (shared != shared_) {
+    shared_ = shared;
+    log_.line(Level::kNotice, "start", shared_ ? "another process lives: half of every share" : "alone", {});
+    resize();
+  }
+  loop_.at(loop_.now() + kLookForSiblings, [this] { share_with_siblings(); });
+}
+
+// Two processes of one dispatcher have one limit on memory and descriptors together.
+void App::resize() {
+  const std::size_t parts = shared_ ? 2 : 1, sockets = sockets_ / parts, bytes = (memory_mb_ << 20) / parts;
+  if (frames_) frames_->resize(client_share(sockets), bytes / 8, bytes / 8);
+  core_.hold_at_most(held_share(memory_mb_) / parts);
+  pool_limits_.most_connections = engine_share(sockets);
+  links_->change(pool_limits_);
+}
+
 void App::find_engines(const Config& config) {
   if (!config.nameserver) {
     directory_.reset();
@@ -131,15 +198,20 @@
 void App::drain() {
   if (std::exchange(draining_, true)) return;
   log_.line(Level::kNotice, "stop", "draining", {{"open", std::to_string(core_.open_requests())}});
+  if (siblings_) siblings_->say_ready(false);
   if (frames_) frames_->drain();
   if (mysql_) mysql_->drain();
-  stop_from_ = loop_.now() + kStragglers;
+  drained_at_ = loop_.now();
+  stop_from_ = drained_at_ + kStragglers;
   stop_when_idle();
 }
 
 void App::stop_when_idle() {
-  const bool idle =
-      core_.open_requests() == 0 && (!frames_ || frames_->is_flushed()) && (!mysql_ || mysql_->is_flushed());
+  // A successor that is ready takes what waits at the socket; without one we serve it still.
+  if (frames_ && siblings_ && siblings_->another_is_ready()) frames_->accept_clients(false);
+  const bool receiving = frames_ && loop_.now() - drained_at_ < kPiecesEnd && frames_->is_receiving();
+  const bool idle = !receiving && core_.open_requests() == 0 && (!frames_ || frames_->is_flushed()) &&
+                    (!mysql_ || mysql_->is_flushed());
   if (idle && loop_.now() >= stop_from_) {
     log_.line(Level::kNotice, "stop", "idle, so done", {});
     return loop_.stop();
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "app/siblings.h"
 #include "config/config.h"
 #include "core/dispatcher.h"
 #include "directory/directory.h"
@@ -25,12 +26,15 @@
   void drain();
 
  private:
-  std::string why_not_ready() const override { return draining_ ? "draining" : ""; }
+  std::string why_not_ready() const override;
   const Figures& figures() const override { return figures_; }
   Gauges gauges() const override { return core_.gauges(); }
   void take_over(const Config& config);
   void find_engines(const Config& config);
   void stop_when_idle();
+  void become_ready(Time at_the_latest);
+  void share_with_siblings();
+  void resize();
 
   Loop& loop_;
   Log& log_;
@@ -41,8 +45,11 @@
   std::unique_ptr<FramesFront> frames_;
   std::unique_ptr<MysqlFront> mysql_;
   std::unique_ptr<OpsServer> ops_;
-  Time stop_from_{};
-  bool draining_ = false;
+  std::optional<Siblings> siblings_;  // where the clients' socket was passed: without, there can be none
+  std::size_t sockets_, memory_mb_;   // the whole dispatcher's
+  PoolLimits pool_limits_;
+  Time stop_from_{}, drained_at_{};
+  bool ready_ = false, draining_ = false, shared_ = false;
 };
 
 }  // namespace rookproxy
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,6 +1,7 @@
 #include "config/config.h"
 
 #include <toml++/toml.h>
+#include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -185,6 +186,11 @@
   config.name = reader.text_or("name", config.name);
   if (reader.has("listen")) config.listen = reader.endpoint("listen");
   if (reader.has("ops")) config.ops = reader.endpoint("ops");
+  if (reader.has("passed_socket")) {
+    config.passed_socket = static_cast<int>(reader.whole_or("passed_socket", 3, 3, 1'000'000));
+    if (!config.listen) throw ConfigError("passed_socket", "there is no `listen` for it");
+  }
+  config.shared_folder = reader.text_or("shared_folder", "/tmp");
   if (reader.has("seed")) {
     const std::string seed = reader.text("seed");
     const auto read = parse_number<std::uint64_t>(seed, 16);
@@ -230,7 +236,16 @@
   return config;
 }
 
-Config load_config(const std::string& platform, const std::string& operators, const std::string& ops) {
+Environment read_environment() {
+  const auto read = [](const char* name) {
+    const char* value = std::getenv(name);
+    return std::string(value ? value : "");
+  };
+  return {read("NODE_CONFIG"), read("NODE_OPS"), read("NODE_PASSED_SOCKET"), read("TMPDIR")};
+}
+
+Config load_config(const Environment& environment, const std::string& operators) {
+  const std::string& platform = environment.config;
   json document = json::object();
   if (!platform.empty()) {
     try {
@@ -239,7 +254,14 @@
       throw ConfigError(platform, fault.what());
     }
   }
-  if (!ops.empty()) document["ops"] = ops;
+  if (!environment.ops.empty()) document["ops"] = environment.ops;
+  if (!environment.shared_folder.empty()) document["shared_folder"] = environment.shared_folder;
+  if (!environment.passed_socket.empty()) {
+    const auto number = parse_number<int>(environment.passed_socket);
+    if (!number)
+      throw ConfigError("$NODE_PASSED_SOCKET", "not a number ('" + environment.passed_socket + "')");
+    document["passed_socket"] = *number;
+  }
   if (!operators.empty()) document.merge_patch(read_toml(operators));
   return read_config(document);
 }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -40,8 +40,10 @@
 
 struct Config {
   std::string name = "rookproxy";
-  std::optional<Endpoint> listen;  // the platform's front
-  std::optional<Endpoint> ops;     // where operators call
+  std::optional<Endpoint> listen;    // the platform's front
+  std::optional<Endpoint> ops;       // where operators call
+  std::optional<int> passed_socket;  // an inherited descriptor that listens for `listen`
+  std::string shared_folder;         // where processes of one dispatcher know of each other
   std::uint64_t seed = 1;
   std::size_t memory_mb = 192, sockets = 1024;
   std::optional<Endpoint> nameserver;
@@ -62,8 +64,14 @@
 };
 
 // `platform` is the path of the platform's JSON file, `operators` that of an operator's TOML file; either may
-// be empty. Where both name a key, the operator's file wins; `ops`, if given, wins over the platform's key.
-Config load_config(const std::string& platform, const std::string& operators, const std::string& ops = "");
+// be empty. Where both name a key, the operator's file wins. What the environment says of this process wins
+// over the platform's file, which another process of the same dispatcher may have been given, too.
+struct Environment {
+  std::string config, ops, passed_socket,
+      shared_folder;  // $NODE_CONFIG, $NODE_OPS, $NODE_PASSED_SOCKET, $TMPDIR
+};
+Environment read_environment();
+Config load_config(const Environment& environment, const std::string& operators);
 Config read_config(const nlohmann::json& document);
 
 // A whole file's text, or a ConfigError that names it.
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -44,6 +44,7 @@
   // A front has answered by itself what never became a request; its class is known.
   void turned_away(lemonshift::ClassIndex cls, Verdict verdict);
   Gauges gauges() const;
+  void hold_at_most(std::size_t bytes) { limits_.held_bytes = bytes; }
 
   // ---- from a directory
   void learn_members(const std::vector<Member>& members, bool remembered);
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -88,6 +88,7 @@
     return;
   }
   heard_at_ = loop_.now();
+  answered_ = true;
   if (std::exchange(silent_, false)) log_.line(Level::kNotice, "directory", "answers again", {});
   // Serial arithmetic (RFC 1982): datagrams overtake each other, and an old list must not undo a newer one.
   if (static_cast<std::int32_t>(list.serial - serial_) <= 0) return;
--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -23,6 +23,7 @@
                std::uint64_t serial, std::uint64_t seed, Told told);
   ~DnsDirectory();
   // Asks there from now on, and at once. The list and its serial go on: it is the same directory elsewhere.
+  bool has_answered() const { return answered_; }
   void move_to(const Endpoint& server, std::string service, Duration poll);
 
  private:
@@ -45,7 +46,7 @@
   // first.
   std::vector<std::uint16_t> asked_;
   Time heard_at_;
-  bool silent_ = false;
+  bool silent_ = false, answered_ = false;
   TimerKey timer_{};
 };
 
--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -90,6 +90,8 @@
 
 namespace {
 
+// One whose bytes come with longer pauses has stopped halfway.
+constexpr Duration kPieces = std::chrono::milliseconds(700);
 constexpr Duration kLinger = std::chrono::milliseconds(300);
 constexpr std::size_t kUsualLength = 16 * 1024;  // of a frame; larger ones have to share a budget
 // Figures beyond these are no estimates: they would only mislead the module about what usual requests take.
@@ -143,6 +145,7 @@
 
   std::size_t on_bytes(std::string_view bytes) override {
     if (dead_) return bytes.size();
+    heard_at_ = front_.loop_.now();
     if (skip_ > 0) {
       const std::size_t skipped = std::min(skip_, bytes.size());
       skip_ -= skipped;
@@ -166,6 +169,7 @@
         return on_bytes(bytes);
       case frames::Parse::kOne:
         front_.loop_.cancel(frame_timer_);
+        begun_ = false;
         front_.unfinished_ -= std::exchange(reserved_, 0);
         spoken_at_ = front_.loop_.now();
         rest();
@@ -191,6 +195,7 @@
   std::size_t untaken() const { return stream_.queued(); }
   void go_away() { write(frames::make_frame(frames::kGoAway, 0, "")); }
   bool is_flushed() const { return stream_.queued() == 0; }
+  bool is_receiving() const { return begun_ && front_.loop_.now() - heard_at_ < kPieces; }
   // The requests nobody waits for any more.
   std::vector<SlotKey> abandon() {
     std::vector<SlotKey> tickets;
@@ -215,7 +220,7 @@
   // A frame has begun. It may take up its length only while the budget for large ones lasts, and only for so
   // long.
   std::size_t begin(std::string_view bytes) {
-    if (frame_timer_.second == 0) wait_for_frame();
+    if (!std::exchange(begun_, true)) wait_for_frame();
     if (bytes.size() < frames::kHeader || reserved_ > 0) return 0;
     frames::Frame head;
     const std::size_t length = frames::frame_length(bytes, head);
@@ -355,7 +360,8 @@
   std::size_t skip_ = 0;
   bool dead_ = false;
   std::size_t reserved_ = 0;  // of the budget for large frames
-  Time began_at_ = front_.loop_.now(), spoken_at_{};
+  bool begun_ = false;        // a frame, that is not yet whole
+  Time began_at_ = front_.loop_.now(), heard_at_ = began_at_, spoken_at_{};
   TimerKey idle_timer_{}, frame_timer_{};
   Stream stream_;
 };
@@ -365,7 +371,8 @@
       log_(log),
       core_(core),
       limits_(limits),
-      acceptor_(loop, std::move(listener), [this](Fd fd) { accept(std::move(fd)); }) {}
+      acceptor_(
+          loop, std::move(listener), [this](Fd fd) { accept(std::move(fd)); }, false) {}
 
 FramesFront::~FramesFront() = default;
 
@@ -442,6 +449,18 @@
   for (const SlotKey key : connections_.keys()) find(key)->go_away();
 }
 
+void FramesFront::resize(std::size_t most_connections, std::size_t most_unfinished,
+                         std::size_t most_untaken) {
+  limits_.most_connections = most_connections;
+  limits_.most_unfinished = most_unfinished;
+  limits_.most_untaken = most_untaken;
+}
+
+bool FramesFront::is_receiving() const {
+  const auto keys = connections_.keys();
+  return std::any_of(keys.begin(), keys.end(), [this](SlotKey key) { return find(key)->is_receiving(); });
+}
+
 bool FramesFront::is_flushed() {
   const auto keys = connections_.keys();
   return std::all_of(keys.begin(), keys.end(), [this](SlotKey key) { return find(key)->is_flushed(); });
--- a/src/front/frames.h
+++ b/src/front/frames.h
@@ -58,13 +58,19 @@
     // The first frame is there after this, and any frame that has begun is whole.
     Duration patience = std::chrono::seconds(2);
   };
+  // Accepts nothing until it is told to.
   FramesFront(Loop& loop, Log& log, Dispatcher& core, Fd listener, Limits limits);
   ~FramesFront();
 
   Verdict on_answer(std::uint64_t ticket, Answer answer) override;
   // No longer ready: every connection is told; what still comes is served.
   void drain();
+  void accept_clients(bool accepting) { accepting ? acceptor_.start() : acceptor_.stop(); }
+  // Other shares of what the dispatcher may hold; what is over them goes as others come.
+  void resize(std::size_t most_connections, std::size_t most_unfinished, std::size_t most_untaken);
+  // Nothing queued for a client, nor a request that is still on its way in.
   bool is_flushed();
+  bool is_receiving() const;
   std::uint16_t port() const { return acceptor_.port(); }
 
  private:
--- a/src/link/pool.h
+++ b/src/link/pool.h
@@ -101,6 +101,8 @@
   void probe(EngineId engine) override;
   void engine_at(EngineId engine, const Endpoint& address) override;
   void engine_closed(EngineId engine) override;
+  // Other limits from now on; what is open beyond them is left to end.
+  void change(const PoolLimits& limits) { limits_ = limits; }
 
  protected:
   friend class LinkConnection;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,7 +2,6 @@
 #include <unistd.h>
 
 #include <csignal>
-#include <cstdlib>
 #include <string_view>
 
 #include "app/app.h"
@@ -19,7 +18,10 @@
     "  --check    reads the configuration, says what is wrong with it, and exits\n"
     "  --help     this text\n"
     "\n"
-    "$NODE_CONFIG is the path of the platform's JSON configuration, $NODE_OPS the address for operators.\n"
+    "$NODE_CONFIG is the path of the platform's JSON configuration, $NODE_OPS the address for operators,\n"
+    "$NODE_PASSED_SOCKET an inherited socket that listens for clients, $TMPDIR a folder that the processes "
+    "of\n"
+    "one dispatcher share during an upgrade.\n"
     "Exit codes: 0 stopped after a drain, 1 failed while running, 2 bad usage or configuration.\n";
 
 }  // namespace
@@ -27,13 +29,7 @@
 int main(int argc, char** argv) {
   using namespace rookproxy;
   return run_program(argc, argv, "rookproxy", kHelp, false, [](const ProgramOptions& options, Log& log) {
-    const auto environment = [](const char* name) {
-      const char* value = std::getenv(name);
-      return std::string(value ? value : "");
-    };
-    const auto load = [&] {
-      return load_config(environment("NODE_CONFIG"), options.file, environment("NODE_OPS"));
-    };
+    const auto load = [&] { return load_config(read_environment(), options.file); };
     const Config config = load();
     if (options.check) return report_fine();
     log.set_host(config.name);
--- a/src/net/fd.cpp
+++ b/src/net/fd.cpp
@@ -110,6 +110,25 @@
   return fd && try_connect(fd, *address) ? std::move(fd) : Fd();
 }
 
+Fd adopt_listener(int number) {
+  const auto option = [number](int name) {
+    int value = -1;
+    socklen_t size = sizeof value;
+    return ::getsockopt(number, SOL_SOCKET, name, &value, &size) == 0 ? value : -1;
+  };
+  errno = 0;
+  if (option(SO_DOMAIN) != AF_INET || option(SO_TYPE) != SOCK_STREAM || option(SO_ACCEPTCONN) != 1) {
+    if (errno == 0) errno = EINVAL;
+    return Fd();
+  }
+  const int flags = ::fcntl(number, F_GETFL);
+  if (flags < 0 || ::fcntl(number, F_SETFL, flags | O_NONBLOCK) != 0 ||
+      ::fcntl(number, F_SETFD, FD_CLOEXEC) != 0) {
+    return Fd();
+  }
+  return Fd(number);
+}
+
 Fd accept_from(const Fd& listener) {
   Fd fd(::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
   const int on = 1;  // fails harmlessly on a Unix socket
--- a/src/net/fd.h
+++ b/src/net/fd.h
@@ -46,6 +46,9 @@
 Fd connect_udp(const Endpoint& to);
 Fd listen_unix(const std::string& path);
 Fd connect_unix(const std::string& path);
+// Takes over a descriptor that was inherited, if it is a TCP socket that listens; else empty, with errno set.
+// Its queue, and whether it blocks, are shared with every process that holds it: it is never shut down.
+Fd adopt_listener(int number);
 Fd accept_from(const Fd& listener);
 std::uint16_t local_port(const Fd& fd);
 // One send, and whatever comes of it.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -158,22 +158,30 @@
   }
 }
 
-Acceptor::Acceptor(Loop& loop, Fd listener, std::function<void(Fd)> taken)
+Acceptor::Acceptor(Loop& loop, Fd listener, std::function<void(Fd)> taken, bool accepting)
     : loop_(loop),
       listener_(std::move(listener)),
       reserve_(::open("/dev/null", O_RDONLY | O_CLOEXEC)),
       taken_(std::move(taken)) {
+  if (accepting) start();
+}
+
+Acceptor::~Acceptor() { stop(); }
+
+void Acceptor::start() {
+  if (key_ != 0) return;
   key_ = loop_.watch(listener_.get(), *this);
   if (key_ == 0) throw std::system_error(errno, std::generic_category(), "watching a listener");
 }
 
-Acceptor::~Acceptor() {
+void Acceptor::stop() {
   loop_.cancel(retry_);
-  loop_.unwatch(key_, listener_.get());
+  loop_.unwatch(std::exchange(key_, 0), listener_.get());
 }
 
 void Acceptor::on_ready(std::uint32_t) {
   for (int taken = 0;; ++taken) {
+    if (key_ == 0) return;  // stopped by what was just taken
     if (taken == 64) return loop_.again(key_, EPOLLIN);
     Fd fd = accept_from(listener_);
     if (fd) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -86,8 +86,11 @@
 // not spin.
 class Acceptor final : private Watcher {
  public:
-  Acceptor(Loop& loop, Fd listener, std::function<void(Fd)> taken);
+  Acceptor(Loop& loop, Fd listener, std::function<void(Fd)> taken, bool accepting = true);
   ~Acceptor();
+  // Stopped, it leaves what waits to whoever else holds the listening socket, or to a later start.
+  void start();
+  void stop();
   std::uint16_t port() const { return local_port(listener_); }
 
  private:
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -1,11 +1,13 @@
 #include "scenario.h"
 
+#include <fcntl.h>
 #include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -65,16 +67,30 @@
 // The dispatcher's process; its log goes to a file that is read back.
 class Process {
  public:
-  void start(const std::string& config_path, const std::string& log_path) {
+  void start(const std::string& folder, const std::string& log_path, const Fd& passed) {
     log_path_ = log_path;
     pid_ = ::fork();
     if (pid_ == 0) {
-      ::setenv("NODE_CONFIG", config_path.c_str(), 1);
+      ::setenv("NODE_CONFIG", (folder + "/config.json").c_str(), 1);
+      ::setenv("TMPDIR", folder.c_str(), 1);
+      if (passed) {
+        ::setenv("NODE_PASSED_SOCKET", "3", 1);
+        const Fd apart(::fcntl(passed.get(), F_DUPFD, 10));  // it may be 3 already, and closed on exec
+        ::dup2(apart.get(), 3);
+      }
       if (!std::freopen(log_path.c_str(), "w", stderr)) ::_exit(99);
       ::execl(ROOKPROXY_BINARY, "rookproxy", nullptr);
       ::_exit(99);
     }
   }
+  Process() = default;
+  Process(Process&& other) noexcept
+      : pid_(std::exchange(other.pid_, 0)), log_path_(std::exchange(other.log_path_, "")) {}
+  Process& operator=(Process&& other) noexcept {
+    std::swap(pid_, other.pid_);
+    std::swap(log_path_, other.log_path_);
+    return *this;
+  }
   ~Process() {
     if (pid_ > 0) {
       ::kill(pid_, SIGKILL);
@@ -112,6 +128,12 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
   }
   bool started() const { return !log_path_.empty(); }
+  std::uint16_t ops_port() const {
+    wait_for("answering operators");
+    const std::string text = log();
+    const auto line = text.substr(0, text.find(" answering operators")).rfind("port=\"");
+    return static_cast<std::uint16_t>(std::stoi(text.substr(line + 6)));
+  }
 
  private:
   pid_t pid_ = 0;
@@ -166,12 +188,11 @@
     require(::mkdtemp(path.data()) != nullptr, "no folder");
     folder_ = path;
   }
-  ~Player() {
-    ::unlink((folder_ + "/config.json").c_str());
-    ::unlink((folder_ + "/log").c_str());
-    ::rmdir(folder_.c_str());
+  ~Player() { std::filesystem::remove_all(folder_); }
+  std::string log() const {
+    return (old_.started() ? old_.log() + "-- its successor:\n" : "") +
+           (process_.started() ? process_.log() : "");
   }
-  std::string log() const { return process_.started() ? process_.log() : ""; }
 
   void step(const std::string& line) {
     in_ = std::istringstream(line);
@@ -182,7 +203,22 @@
     if (verb == "directory") return directory();
     if (verb == "move") return move_directory();
     if (verb == "configure") return configure(rest());
-    if (verb == "call") return static_cast<void>(answer_ = call_operators(rest()));
+    if (verb == "call") {
+      const std::string text = rest();
+      const bool old = text.starts_with("old ");
+      answer_ = call_operators(old ? old_ : process_, text.substr(old ? 4 : 0));
+      return;
+    }
+    if (verb == "pass") {
+      passed_ = listen_anywhere();
+      config_["listen"] = "127.0.0.1:" + std::to_string(local_port(passed_));
+      return;
+    }
+    if (verb == "upgrade") {
+      old_ = std::move(process_);
+      process_ = Process();
+      return start();
+    }
     if (verb == "hold") return hold();
     if (verb == "client") return connect();
     if (verb == "mysql") return log_in();
@@ -194,7 +230,12 @@
     if (verb == "expect") return expect();
     if (verb == "close") return close();
     if (verb == "wait") return std::this_thread::sleep_for(std::chrono::milliseconds(std::stoi(word())));
-    if (verb == "signal") return process_.signal(word() == "HUP" ? SIGHUP : SIGTERM);
+    if (verb == "signal") {
+      std::string name = word();
+      Process& to = name == "old" ? old_ : process_;
+      if (name == "old") name = word();
+      return to.signal(name == "HUP" ? SIGHUP : name == "KILL" ? SIGKILL : SIGTERM);
+    }
     fail("unknown step");
   }
 
@@ -249,8 +290,8 @@
 
   void start() {
     configure("");
-    process_.start(folder_ + "/config.json", folder_ + "/log");
-    process_.wait_for("serving frames");
+    process_.start(folder_, folder_ + "/log" + std::to_string(++starts_), passed_);
+    process_.wait_for("ready to serve");
     frames_port_ = static_cast<std::uint16_t>(std::stoi(process_.wait_for("start [rookproxy@32473 port=\"")));
     if (!mysql_engines_.empty()) {
       process_.wait_for("serving mysql");
@@ -260,16 +301,9 @@
     }
   }
 
-  std::uint16_t ops_port() {
-    process_.wait_for("answering operators");
-    const std::string log = process_.log();
-    const auto line = log.substr(0, log.find(" answering operators")).rfind("port=\"");
-    return static_cast<std::uint16_t>(std::stoi(log.substr(line + 6)));
-  }
-
   // One call, and its answer up to the end of the connection.
-  std::string call_operators(const std::string& line) {
-    Peer peer = Peer::connect(ops_port());
+  std::string call_operators(const Process& process, const std::string& line) {
+    Peer peer = Peer::connect(process.ops_port());
     peer.send(line + "\n");
     require(peer.at_end(), "the connection stays open");
     return peer.buffer();
@@ -279,7 +313,7 @@
     const int count = std::stoi(word());
     const std::string text = rest();
     for (int i = 0; i < count; ++i) {
-      held_.push_back(Peer::connect(ops_port()));
+      held_.push_back(Peer::connect(process_.ops_port()));
       held_.back().send(text);
     }
   }
@@ -288,7 +322,7 @@
   void expect_figure(const std::string& wanted) {
     const auto until = std::chrono::steady_clock::now() + kPatience;
     for (;;) {
-      const std::string all = call_operators("METRICS");
+      const std::string all = call_operators(process_, "METRICS");
       if (all.find("\nsvc." + wanted + "\n") != std::string::npos) return;
       require(std::chrono::steady_clock::now() < until, "the figures are\n" + all);
       std::this_thread::sleep_for(5ms);
@@ -358,7 +392,9 @@
     client.mysql ? send_mysql(client, what) : send_frame(client, what);
   }
 
-  void send_frame(Client& client, const std::string& what) {
+  void send_frame(Client& client, std::string what) {
+    std::chrono::milliseconds pause{0};
+    if (what == "slowly") pause = std::chrono::milliseconds(std::stoi(word()) / 10), what = word();
     if (what == "hex") return client.peer.send(from_hex(word()));
     const auto stream = static_cast<std::uint32_t>(std::stoul(word()));
     if (what == "abandon") return client.peer.send(frames::make_frame(frames::kAbandon, stream, ""));
@@ -383,7 +419,12 @@
       payload += static_cast<char>(value.size() >> 8);
       payload += static_cast<char>(value.size()) + value;
     }
-    client.peer.send(frames::make_frame(frames::kRequest, stream, payload + rest()));
+    const std::string frame = frames::make_frame(frames::kRequest, stream, payload + rest());
+    const std::size_t piece = pause == 0ms ? frame.size() : (frame.size() + 9) / 10;
+    for (std::size_t at = 0; at < frame.size(); at += piece) {
+      client.peer.send(std::string_view(frame).substr(at, piece));
+      std::this_thread::sleep_for(pause);
+    }
   }
 
   void send_mysql(Client& client, const std::string& what) {
@@ -513,7 +554,9 @@
     if (name == "log") return static_cast<void>(process_.wait_for(rest()));
     if (name == "executed" || name == "prepared" || name == "duplicates") return expect_count(name);
     const std::string what = word();
-    if (name == "dispatcher") return require(process_.exit_code() == std::stoi(word()), "another exit code");
+    if (name == "dispatcher" || name == "old") {
+      return require((name == "old" ? old_ : process_).exit_code() == std::stoi(word()), "another exit code");
+    }
     if (line_engines_.contains(name)) return expect_engine(line_engines_.at(name), what);
     Client& client = clients_.at(name);
     if (what == "closed") return require(client.peer.at_end(), "still open");
@@ -557,7 +600,9 @@
   std::map<std::string, Client> clients_;
   std::vector<Peer> held_;
   std::string answer_;
-  Process process_;
+  Fd passed_;
+  Process old_, process_;
+  int starts_ = 0;
   std::uint16_t frames_port_ = 0, mysql_port_ = 0;
   std::uint64_t calls_ = 0;
 };
--- a/tests/dispatch/scenario.h
+++ b/tests/dispatch/scenario.h
@@ -6,13 +6,17 @@
 //   set /a/b VALUE                  a key of the configuration (JSON pointer and value), before start or configure
 //   start                           the dispatcher; waits until it serves
 //   configure [TEXT]                writes the configuration anew, as it stands or as that text
-//   signal TERM|HUP                 to the dispatcher
+//   signal TERM|HUP|KILL            to the dispatcher
+//   pass socket                     before start: the scenario holds the clients' socket, processes inherit it
+//   upgrade                         a second process beside the first, which is 'old' from now on
+//   signal old TERM|KILL | call old TEXT
 //   directory A=up B=draining ...   what the directory lists from now on; waits until the dispatcher has it
 //   move directory                  to another address; the next 'directory' is told there
 //   client C | mysql C [SCHEMA]     connects a client to the front for frames, or logs in to that for MySQL
 //   mysql C denied                  the log-in must fail
 //   knock C                         connects to the MySQL front and says nothing
 //   send C request STREAM CLASS TTL TEXT | send C fields STREAM NAME=VALUE,... TEXT
+//   send C slowly MS request ...    the same in ten pieces, over that time
 //   send C abandon STREAM | send C ready STREAM | send C hex BYTES
 //   expect C served|refused|failed STREAM [TEXT] | expect C ready CODE | expect C goaway | expect C error
 //   expect A REQ TEXT               the engine's next command, its fields and body in part; also FETCH, END, STOP
@@ -30,7 +34,7 @@
 //   expect figure NAME=VALUE        waits until METRICS shows svc.NAME=VALUE
 //   hold N [TEXT]                   N connections to the operators' address, with no whole call on them
 //   expect log TEXT                 waits until the dispatcher's log holds it
-//   expect dispatcher exit CODE
+//   expect dispatcher exit CODE | expect old exit CODE
 // clang-format on
 #pragma once
 
--- a/tests/dispatch/scenarios.cpp
+++ b/tests/dispatch/scenarios.cpp
@@ -793,3 +793,97 @@
     expect figure upstream_tries=1
     expect figure in_progress=0)");
 }
+
+TEST_CASE("upgrade: the successor takes the door, the former answers what it took and leaves") {
+  // Guards against requests that end at the door: the former accepts nothing once a successor is ready.
+  play(R"(
+    engines a
+    pass socket
+    start
+    client c
+    send c request 1 load 20000 INSERT INTO s_1.t VALUES (1)
+    expect a REQ
+    upgrade
+    call STATUS
+    expect answer +OK
+    call old STATUS
+    expect answer +OK
+    signal old TERM
+    expect c goaway
+    call old STATUS
+    expect answer -ERR not ready: draining
+    send c request 2 lookup 3000 SELECT 2
+    expect a REQ
+    send a data parts=1 two\n
+    expect c served 2 two\n
+    client d
+    send d request 1 lookup 3000 SELECT 3
+    expect a REQ
+    send a data parts=1 three\n
+    expect d served 1 three\n
+    expect figure passed.lookup=1
+    expect d nothing 50
+    client h
+    send h request 1 load 20000 INSERT INTO s_1.t VALUES (2)
+    expect a REQ
+    close h
+    close a
+    expect c failed 1
+    expect old exit 0
+    call STATUS
+    expect answer +OK)");
+}
+
+TEST_CASE("upgrade: without a successor newcomers are served, and what waits is left to the next process") {
+  // Guards against a door that is shut while nobody else opens it, and against a lock that the dead hold.
+  play(R"(
+    engines a
+    pass socket
+    start
+    upgrade
+    signal KILL
+    expect dispatcher exit 137
+    signal old TERM
+    client c
+    expect c goaway
+    send c request 1 lookup 3000 SELECT 1
+    expect a REQ
+    send a data parts=1 one\n
+    expect c served 1 one\n
+    expect old exit 0
+    client d
+    send d request 1 lookup 9000 SELECT 2
+    start
+    expect a REQ
+    send a data parts=1 two\n
+    expect d served 1 two\n)");
+}
+
+TEST_CASE("upgrade: two processes share one limit on descriptors and memory") {
+  // Guards against shares that don't fit twice: 12 clients at 32 descriptors alone, 6 beside another.
+  play(R"(
+    engines a
+    set /limits/sockets 32
+    pass socket
+    start
+    upgrade
+    expect log another process lives: half of every share
+    signal old KILL
+    expect old exit 137
+    expect log alone)");
+}
+
+TEST_CASE("upgrade: half a request on its way in is waited for") {
+  // Guards against leaving with a request unread that is written in pieces.
+  play(R"(
+    engines a
+    start
+    client c
+    signal TERM
+    expect c goaway
+    send c slowly 1500 request 1 lookup 3000 SELECT 1
+    expect a REQ
+    send a data parts=1 one\n
+    expect c served 1 one\n
+    expect dispatcher exit 0)");
+}
