SIGHUP takes over settings, whole or not at all, while requests are open

Done: check_classes and check_nothing_lost in src/config, a trial of the module before anything is taken over; Dispatcher::bind with its table of classes, Router::change, stricter(); the MySQL front asks for classes by name. Checked with a probe line (since taken out): files that are good hold every top-level key, broken ones lacked 'settings' or had a deadline of -5; a changed class comes under a name of its own ('report-r2'). Tests: scenario with added, changed and dropped classes, MySQL front, lost keys one by one, stricter, the table of classes, and three of the module's.

--- a/include/lemonshift/router.h
+++ b/include/lemonshift/router.h
@@ -40,8 +40,10 @@
   std::optional<std::vector<std::uint32_t>> zones_allowed;
   std::optional<std::vector<std::uint32_t>> kinds_allowed;
   int threads = 1;
-  bool is_load = false;          // holds its table group on its engine while it runs
-  bool waits_for_loads = false;  // stands still while a load holds its group
+  bool is_load = false;                       // holds its table group on its engine while it runs
+  bool waits_for_loads = false;               // stands still while a load holds its group
+  std::optional<std::uint32_t> max_attempts;  // absent: as the settings have it
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct TenantSettings {
@@ -250,6 +252,10 @@
   Router& operator=(Router&&) noexcept;
   // Takes all that happened at `now` and appends what to do, in order.
   void handle(Time now, const std::vector<Event>& events, std::vector<Action>& actions);
+  // Other settings from now on. Indices of classes go on meaning the same classes; one whose entry is another
+  // takes over what is known of its namesake. Means, windows, health and open requests go on. Throws
+  // BadSettings, and then nothing has changed. A list of engines should follow where kinds or zones changed.
+  void change(Settings settings);
   // How many of the listed engines get no new work now, or a trickle: draining, failing or out of reach.
   std::size_t avoided(Time now) const;
 
--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -38,6 +38,10 @@
   }
   const auto notes = config.settings.note_interval;
   limits.silence = notes ? 3 * span_from_module(*notes) : Duration(0);
+  if (config.link == LinkKind::kMysql) {
+    limits.per_connection = 1;     // a session runs one statement at a time
+    limits.silence = Duration(0);  // and says nothing until it has an answer
+  }
   return limits;
 }
 
@@ -82,14 +86,10 @@
 App::App(Loop& loop, Log& log, const Config& config)
     : loop_(loop),
       log_(log),
-      core_(loop, log, figures_, config.settings, config.zones, core_limits(config)),
-      sockets_(config.sockets),
-      memory_mb_(config.memory_mb) {
-  PoolLimits& limits = pool_limits_;
-  limits = pool_limits(config);
+      config_(config),
+      core_(loop, log, figures_, config.settings, config.zones, core_limits(config)) {
+  const PoolLimits limits = pool_limits(config);
   if (config.link == LinkKind::kMysql) {
-    limits.per_connection = 1;     // a session runs one statement at a time
-    limits.silence = Duration(0);  // and says nothing until it has an answer
     const auto& account = config.mysql_link;
     links_ = std::make_unique<MysqlPool>(loop, log, core_, figures_, limits,
                                          MysqlAccount{account.user, account.password, account.schema},
@@ -156,11 +156,13 @@
 
 // Two processes of one dispatcher have one limit on memory and descriptors together.
 void App::resize() {
-  const std::size_t parts = shared_ ? 2 : 1, sockets = sockets_ / parts, bytes = (memory_mb_ << 20) / parts;
+  const std::size_t parts = shared_ ? 2 : 1, sockets = config_.sockets / parts;
+  const std::size_t bytes = (config_.memory_mb << 20) / parts;
   if (frames_) frames_->resize(client_share(sockets), bytes / 8, bytes / 8);
-  core_.hold_at_most(held_share(memory_mb_) / parts);
-  pool_limits_.most_connections = engine_share(sockets);
-  links_->change(pool_limits_);
+  core_.hold_at_most(held_share(config_.memory_mb) / parts);
+  PoolLimits limits = pool_limits(config_);
+  limits.most_connections = engine_share(sockets);
+  links_->change(limits);
 }
 
 void App::find_engines(const Config& config) {
@@ -175,9 +177,9 @@
   }
 }
 
-void App::reload(const std::function<Config()>& load) {
+void App::reload(const std::function<Config(const Config& running)>& load) {
   try {
-    take_over(load());
+    take_over(load(config_));
     ++figures_.loads;
   } catch (const std::exception& fault) {
     ++figures_.load_errors;
@@ -185,8 +187,20 @@
   }
 }
 
-void App::take_over(const Config& config) {
+// Everything was read and checked before; from here on nothing can be turned down.
+void App::take_over(Config fresh) {
+  // The process keeps what it was started with; so do its shares.
+  fresh.listen = config_.listen;
+  fresh.ops = config_.ops;
+  fresh.passed_socket = config_.passed_socket;
+  fresh.link = config_.link;
+  fresh.sockets = config_.sockets;
+  fresh.memory_mb = config_.memory_mb;
+  config_ = std::move(fresh);
+  const Config& config = config_;
   configure_log(log_, config.log);
+  core_.change(config.settings, config.zones, core_limits(config));
+  resize();
   find_engines(config);
   // With a directory the file's list is that of some start, perhaps long ago: the directory knows better.
   if (!directory_) core_.learn_members(config.known, false);
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -18,10 +18,11 @@
 class App final : public OpsSource {
  public:
   App(Loop& loop, Log& log, const Config& config);
-  // Takes over what a new configuration says and a running dispatcher can change: the directory's address,
-  // the fixed list of engines, the log, the MySQL front's users, times and cap. Requests and the list's
-  // serial go on. If `load` throws, the former settings stay: a bad file must not end what serves.
-  void reload(const std::function<Config()>& load);
+  // Takes over what a new configuration says and a running dispatcher can change: the settings, the
+  // directory's address, the fixed list of engines, the log, the MySQL front's classes, users, times and cap.
+  // Requests and the list's serial go on. If `load` throws, the former configuration stays as a whole: a bad
+  // file must not end what serves.
+  void reload(const std::function<Config(const Config& running)>& load);
   // Not ready any more; what still comes is served, and the loop stops once nothing is open.
   void drain();
 
@@ -29,7 +30,7 @@
   std::string why_not_ready() const override;
   const Figures& figures() const override { return figures_; }
   Gauges gauges() const override { return core_.gauges(); }
-  void take_over(const Config& config);
+  void take_over(Config config);
   void find_engines(const Config& config);
   void stop_when_idle();
   void become_ready(Time at_the_latest);
@@ -38,6 +39,7 @@
 
   Loop& loop_;
   Log& log_;
+  Config config_;  // as last taken over
   Figures figures_;
   Dispatcher core_;
   std::unique_ptr<Pool> links_;
@@ -46,8 +48,6 @@
   std::unique_ptr<MysqlFront> mysql_;
   std::unique_ptr<OpsServer> ops_;
   std::optional<Siblings> siblings_;  // where the clients' socket was passed: without, there can be none
-  std::size_t sockets_, memory_mb_;   // the whole dispatcher's
-  PoolLimits pool_limits_;
   Time stop_from_{}, drained_at_{};
   bool ready_ = false, draining_ = false, shared_ = false;
 };
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <sstream>
 
 #include "config/reader.h"
@@ -40,20 +41,59 @@
   }
 }
 
+// The module's reader takes its own defaults for what is missing, as the simulator's wire has it. Here a
+// class with no deadline, or with an effect that nobody named, would be served by rules that nobody set.
+void check_classes(const Reader& settings) {
+  const json& grades = settings.need("grades");
+  if (!grades.is_array() || grades.empty()) throw ConfigError(settings.path("grades"), "names no class");
+  std::set<std::string> names;
+  for (std::size_t i = 0; i < grades.size(); ++i) {
+    const Reader cls(grades[i], settings.path("grades." + std::to_string(i)));
+    const std::string name = cls.text("name");
+    // Names stand in figures, a line each, and in the engines' lists of fields.
+    const bool plain = !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char c) {
+      return c > ' ' && c < 0x7f && c != '=' && c != ',';
+    });
+    if (!plain) throw ConfigError(cls.path("name"), "not a plain word ('" + name + "')");
+    if (!names.insert(name).second) throw ConfigError(cls.path("name"), "there twice ('" + name + "')");
+    cls.text("effect");
+    cls.number("target", 1, 1e15);
+    cls.number("deadline", 1, 1e15);
+  }
+  settings.table("permissions").number("max_attempts", 1, 1e6);
+}
+
+// What was told and is told no more has been cut off, not taken back: a running dispatcher does not fall back
+// to defaults. Only what the pages call optional may go, and single classes, tenants and engines.
+void check_nothing_lost(const json& was, const json& now, const std::string& path) {
+  static const std::set<std::string, std::less<>> optional{
+      "aim_stretch", "keep_order",   "models_allowed", "allowed_in", "streaming", "window",
+      "group",       "repeat_ratio", "counted_over",   "min_extra",  "turn_gap",  "fleet"};
+  for (const auto& [key, value] : was.items()) {
+    const std::string at = path + "." + key;
+    if (value.is_null() || optional.contains(key)) continue;
+    if (!now.contains(key) || now[key].is_null()) throw ConfigError(at, "missing, and it was there before");
+    if (value.is_object() && now[key].is_object()) check_nothing_lost(value, now[key], at);
+    if (key != "grades" || !value.is_array() || !now[key].is_array()) continue;
+    // Of classes, what each of them had. The first stands for all: they come from one form.
+    for (std::size_t i = 0; i < now[key].size() && !value.empty(); ++i) {
+      check_nothing_lost(value.front(), now[key][i], at + "." + std::to_string(i));
+    }
+  }
+}
+
 void read_settings(const json& settings, Config& config) {
   std::vector<std::string> pairs;
   flatten(settings, "", pairs);
   const std::vector<std::string_view> views(pairs.begin(), pairs.end());
+  check_classes(Reader(settings, "settings"));
   try {
     config.settings = lemonshift::wire::parse_settings(config.seed, views);
+    // The module has checks of its own. A running one could not be talked into half of what it turns down.
+    const lemonshift::Router trial(config.settings);
   } catch (const std::exception& fault) {
     throw ConfigError("settings", fault.what());
   }
-  if (config.settings.classes.empty()) throw ConfigError("settings.grades", "names no class");
-  for (const auto& cls : config.settings.classes) {
-    if (cls.name.empty()) throw ConfigError("settings.grades", "a class without a name");
-    if (cls.deadline <= 0) throw ConfigError("settings.grades", "class " + cls.name + " has no deadline");
-  }
   const Reader reader(settings, "settings");
   if (reader.has("localities")) {
     for (const auto& zone : reader.need("localities")) {
@@ -263,7 +303,24 @@
     document["passed_socket"] = *number;
   }
   if (!operators.empty()) document.merge_patch(read_toml(operators));
-  return read_config(document);
+  Config config = read_config(document);
+  config.document = std::make_shared<const json>(std::move(document));
+  return config;
+}
+
+Config load_config(const Environment& environment, const std::string& operators, const Config& running) {
+  Config fresh = load_config(environment, operators);
+  if (running.mysql && !fresh.mysql) throw ConfigError("mysql", "missing, and its front is open");
+  for (const char* key : {"name", "listen", "seed", "limits", "nameserver", "known", "settings"}) {
+    const json& was = *running.document;
+    if (!was.contains(key)) continue;
+    // A directory may give way to a fixed list.
+    const bool lists_engines = std::string_view(key) == "nameserver" || std::string_view(key) == "known";
+    if (lists_engines && fresh.document->contains("engines")) continue;
+    if (!fresh.document->contains(key)) throw ConfigError(key, "missing, and it was there before");
+    if (was[key].is_object()) check_nothing_lost(was[key], (*fresh.document)[key], key);
+  }
+  return fresh;
 }
 
 }  // namespace rookproxy
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <stdexcept>
@@ -61,6 +62,7 @@
   MysqlLinkConfig mysql_link;
   std::optional<MysqlFrontConfig> mysql;
   LogConfig log;
+  std::shared_ptr<const nlohmann::json> document;  // as it was read
 };
 
 // `platform` is the path of the platform's JSON file, `operators` that of an operator's TOML file; either may
@@ -72,6 +74,8 @@
 };
 Environment read_environment();
 Config load_config(const Environment& environment, const std::string& operators);
+// The same for a process that runs: what the platform's part of the running configuration says must be there.
+Config load_config(const Environment& environment, const std::string& operators, const Config& running);
 Config read_config(const nlohmann::json& document);
 
 // A whole file's text, or a ConfigError that names it.
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "core/dispatcher.h"
 
+#include "core/rules.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -28,18 +30,77 @@
     : loop_(loop),
       log_(log),
       figures_(figures),
-      settings_(settings),
       zones_(std::move(zones)),
       limits_(limits),
       router_(settings) {
-  for (const auto& cls : settings_.classes) figures_.by_class[cls.name];  // shown from the start, as 0
+  bind(settings);
 }
 
 std::optional<lemonshift::ClassIndex> Dispatcher::class_named(std::string_view name) const {
-  for (std::size_t i = 0; i < settings_.classes.size(); ++i) {
-    if (settings_.classes[i].name == name) return static_cast<lemonshift::ClassIndex>(i);
+  const auto found = class_names_.find(name);
+  if (found == class_names_.end()) return std::nullopt;
+  return found->second;
+}
+
+void Dispatcher::change(const lemonshift::Settings& fresh, std::vector<std::string> zones,
+                        CoreLimits limits) {
+  settle();  // what has come so far goes by the former settings
+  zones_ = std::move(zones);
+  limits_ = limits;
+  loop_.cancel(change_timer_);
+  bind(stricter(binding_, fresh));
+  change_timer_ = loop_.at(loop_.now() + limits_.change_time, [this, fresh] {
+    settle();
+    bind(fresh);
+    log_.line(Level::kNotice, "core", "the new settings bind alone", {});
+  });
+}
+
+// A class whose rules are others than before becomes a new one, to which its name leads from now on; requests
+// that are open stay with the former, whose place is given to another once nobody uses it.
+void Dispatcher::bind(const lemonshift::Settings& fresh) {
+  auto table = settings_.classes;
+  std::map<std::string, lemonshift::ClassIndex, std::less<>> names;
+  std::vector<lemonshift::ClassSettings> added;
+  std::vector<bool> kept(table.size(), false);
+  for (std::size_t i = 0; i < table.size(); ++i) kept[i] = users_[i] > 0;
+  for (auto cls : fresh.classes) {
+    cls.max_attempts = fresh.max_attempts;
+    const auto known = class_names_.find(cls.name);
+    if (known != class_names_.end() && table[known->second] == cls) {
+      names[cls.name] = known->second;
+      kept[known->second] = true;
+    } else {
+      added.push_back(std::move(cls));
+    }
   }
-  return std::nullopt;
+  for (auto& cls : added) {
+    const auto free = std::find(kept.begin(), kept.end(), false);
+    const auto at = static_cast<std::size_t>(free - kept.begin());
+    names[cls.name] = static_cast<lemonshift::ClassIndex>(at);
+    if (free == kept.end()) {
+      kept.push_back(true);
+      table.push_back(std::move(cls));
+    } else {
+      *free = true;
+      table[at] = std::move(cls);
+    }
+  }
+  while (!kept.empty() && !kept.back()) kept.pop_back(), table.pop_back();
+  lemonshift::Settings next = fresh;
+  next.classes = table;
+  router_.change(next);
+  binding_ = fresh;
+  settings_ = std::move(next);
+  class_names_ = std::move(names);
+  users_.resize(settings_.classes.size());
+  for (const auto& cls : settings_.classes) figures_.by_class[cls.name];  // shown from the start, as 0
+  // Kinds and zones are known by their places in the settings, which may have changed.
+  lemonshift::EngineList list;
+  for (EngineId id = 0; id < engines_.size(); ++id) {
+    if (engines_[id].told.state != EngineState::kGone) list.entries.push_back(entry_of(id));
+  }
+  if (!engines_.empty()) push(std::move(list));
 }
 
 void Dispatcher::push(lemonshift::Event event) { events_.push_back(std::move(event)); }
@@ -53,6 +114,7 @@
   request.bytes = arrival.query->bytes();
   const bool no_room = held_ + request.bytes > limits_.held_bytes || unanswered_ >= limits_.max_open;
   held_ += request.bytes;
+  ++users_[arrival.cls];
   ++unanswered_;
   const RequestKey key = requests_.insert(std::move(request));
   const Arrival& kept = requests_.find(key)->arrival;
@@ -111,19 +173,7 @@
                        engine.told.started != member.started || engine.told.state == EngineState::kGone;
     engine.told = member;
     if (moved && member.state != EngineState::kGone) links_->engine_at(id, member.address);
-    lemonshift::EngineEntry entry;
-    entry.id = id;
-    entry.name = member.id;
-    entry.started = member.started ? to_module(*member.started) : 0;
-    entry.state = member.state;
-    entry.zone = index_of(zones_, member.zone).value_or(UINT32_MAX - 1);
-    entry.cell = member.cell;
-    entry.weight = member.weight;
-    entry.kind = UINT32_MAX - 1;
-    for (std::uint32_t kind = 0; kind < settings_.kinds.size(); ++kind) {
-      if (settings_.kinds[kind].name == member.kind) entry.kind = kind;
-    }
-    list.entries.push_back(std::move(entry));
+    list.entries.push_back(entry_of(id));
   }
   for (EngineId id = 0; id < engines_.size(); ++id) {
     Engine& engine = engines_[id];
@@ -134,6 +184,23 @@
   push(std::move(list));
 }
 
+lemonshift::EngineEntry Dispatcher::entry_of(EngineId id) const {
+  const Member& member = engines_[id].told;
+  lemonshift::EngineEntry entry;
+  entry.id = id;
+  entry.name = member.id;
+  entry.started = member.started ? to_module(*member.started) : 0;
+  entry.state = member.state;
+  entry.zone = index_of(zones_, member.zone).value_or(UINT32_MAX - 1);
+  entry.cell = member.cell;
+  entry.weight = member.weight;
+  entry.kind = UINT32_MAX - 1;
+  for (std::uint32_t kind = 0; kind < settings_.kinds.size(); ++kind) {
+    if (settings_.kinds[kind].name == member.kind) entry.kind = kind;
+  }
+  return entry;
+}
+
 void Dispatcher::close_engine(EngineId id) {
   const Time since = engines_[id].closed_at = loop_.now();
   // A request that still waits for its connection then must not leave after the grace.
@@ -236,7 +303,7 @@
 void Dispatcher::turned_away(lemonshift::ClassIndex cls, Verdict verdict) { count(cls, verdict); }
 
 void Dispatcher::count(lemonshift::ClassIndex cls, Verdict verdict) {
-  ClassFigures& figures = figures_.by_class[settings_.classes[cls].name];
+  ClassFigures& figures = figures_.by_class[rules(cls).name];
   ++(verdict == Verdict::kServed    ? figures.served
      : verdict == Verdict::kRefused ? figures.refused
                                     : figures.failed);
@@ -255,6 +322,7 @@
   Request* request = requests_.find(key);
   if (!request || !request->over || request->out > 0) return;
   held_ -= request->bytes;
+  --users_[request->arrival.cls];
   requests_.take(key);
 }
 
@@ -296,7 +364,7 @@
     const Request* request = requests_.find(refuse->request);
     if (!request) return;
     // The rule on refusals, whatever the module says: an unsafe request that may have run is never 'refused'.
-    const bool unsafe = settings_.classes[request->arrival.cls].effect == lemonshift::Effect::kUnsafe;
+    const bool unsafe = rules(request->arrival.cls).effect == lemonshift::Effect::kUnsafe;
     const bool ran = std::any_of(request->attempts.begin(), request->attempts.end(),
                                  [](const Attempt& a) { return a.may_have_run; });
     if (unsafe && ran) {
@@ -328,14 +396,14 @@
                                                  const lemonshift::Send& order) const {
   if (!request || request->over) return "request is over";
   if (order.engine >= engines_.size()) return "unknown engine";
-  if (request->attempts.size() >= settings_.max_attempts) return "too many attempts";
+  if (request->attempts.size() >= rules(request->arrival.cls).max_attempts) return "too many attempts";
   if (loop_.now() >= request->arrival.give_up_at) return "out of time";
   const Engine& engine = engines_[order.engine];
   if (engine.told.state == EngineState::kGone) return "engine is gone";
   if (engine.told.state == EngineState::kDraining && loop_.now() >= drain_limit(engine.closed_at)) {
     return "engine drains";
   }
-  const bool unsafe = settings_.classes[request->arrival.cls].effect == lemonshift::Effect::kUnsafe;
+  const bool unsafe = rules(request->arrival.cls).effect == lemonshift::Effect::kUnsafe;
   for (const Attempt& earlier : request->attempts) {
     if (unsafe && earlier.may_have_run) return "it may have run";
     if (earlier.out && !settings_.second_copies) return "an attempt is out";
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -2,6 +2,7 @@
 // takes no decision of its own, but for mechanical guards that keep the rules whatever the module says.
 #pragma once
 
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -25,6 +26,8 @@
       std::chrono::milliseconds(5);  // the simulator's time between two batches, where settings tell it
   // Told with a refusal where the module gives no advice.
   Duration refusal_pause = std::chrono::seconds(1);
+  // After a change clients go by the new settings at the latest this much later, with room to spare.
+  Duration change_time = std::chrono::milliseconds(2000);
 };
 
 class Dispatcher final : public LinkEvents {
@@ -33,8 +36,13 @@
              std::vector<std::string> zones, CoreLimits limits);
 
   void use(EngineLinks& links) { links_ = &links; }
-  const lemonshift::Settings& settings() const { return settings_; }
+  // The rules of a class; its index is good until the caller returns to the loop, or as long as a request of
+  // it is open.
+  const lemonshift::ClassSettings& rules(lemonshift::ClassIndex cls) const { return settings_.classes[cls]; }
   std::optional<lemonshift::ClassIndex> class_named(std::string_view name) const;
+  // Other settings from now on: the stricter of both at once, the new ones alone once clients go by them.
+  // What is open keeps the rules under which it came.
+  void change(const lemonshift::Settings& fresh, std::vector<std::string> zones, CoreLimits limits);
 
   // ---- from fronts. Each accepted request gets exactly one on_answer, unless its asker takes it back first.
   RequestKey accept(const Arrival& arrival, Asker& asker, std::uint64_t ticket);
@@ -83,6 +91,8 @@
     std::optional<Time> probe_sent;
   };
 
+  void bind(const lemonshift::Settings& fresh);
+  lemonshift::EngineEntry entry_of(EngineId id) const;
   void close_engine(EngineId id);
   Time drain_limit(Time told) const;
   void push(lemonshift::Event event);
@@ -100,7 +110,11 @@
   Loop& loop_;
   Log& log_;
   Figures& figures_;
-  lemonshift::Settings settings_;
+  lemonshift::Settings binding_;    // as last bound, classes as the operator names them
+  lemonshift::Settings settings_;   // the same with the classes by which open requests go on: never moved
+  std::vector<std::size_t> users_;  // of each such class, requests
+  std::map<std::string, lemonshift::ClassIndex, std::less<>> class_names_;
+  TimerKey change_timer_{};
   std::vector<std::string> zones_;
   CoreLimits limits_;
   lemonshift::Router router_;
--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -313,7 +313,7 @@
     const auto ttl = ttl_text ? parse_number<std::uint32_t>(*ttl_text) : std::nullopt;
     if (!ttl || *ttl == 0) return unusable("field ttl: not a positive number of milliseconds");
     const Duration patience = std::chrono::milliseconds(*ttl);
-    const auto& settings = front_.core_.settings().classes[*cls];
+    const auto& settings = front_.core_.rules(*cls);
     if (patience > kMostDeadlines * span_from_module(settings.deadline)) {
       return unusable("field ttl: far beyond what its class may take");
     }
--- a/src/front/mysql.cpp
+++ b/src/front/mysql.cpp
@@ -337,12 +337,14 @@
     const bool runs = kind == Query::Kind::kStatement || kind == Query::Kind::kExecute;
     const bool writes = runs && !sql::only_reads(statement);
     Arrival arrival;
-    arrival.cls = writes ? front_.load_class_ : front_.read_class_;
+    // By name each time: SIGHUP may have led the name to other rules.
+    const std::string& cls = writes ? front_.config_.load_class : front_.config_.read_class;
+    arrival.cls = front_.core_.class_named(cls).value();
     arrival.group = runs || kind == Query::Kind::kPrepare ? sql::table_group(statement, schema_) : 0;
     arrival.give_up_at =
         front_.loop_.now() + (writes ? front_.config_.load_deadline : front_.config_.read_deadline);
     query->id = front_.new_id();
-    query->class_name = writes ? front_.config_.load_class : front_.config_.read_class;
+    query->class_name = cls;
     query->statement = std::move(statement);
     query->kind = kind;
     query->schema = schema_;
@@ -400,8 +402,6 @@
       log_(log),
       core_(core),
       config_(config),
-      read_class_(core.class_named(config.read_class).value()),
-      load_class_(core.class_named(config.load_class).value()),
       id_state_(seed ^ static_cast<std::uint64_t>(loop.now().time_since_epoch().count())),
       port_(local_port(listener)),
       acceptor_(
@@ -466,8 +466,6 @@
 void MysqlFront::reload(const MysqlFrontConfig& config) {
   MysqlFrontConfig fresh = config;
   fresh.listen = config_.listen;
-  fresh.read_class = config_.read_class;
-  fresh.load_class = config_.load_class;
   config_ = std::move(fresh);
 }
 
--- a/src/front/mysql.h
+++ b/src/front/mysql.h
@@ -19,7 +19,7 @@
   ~MysqlFront();
 
   Verdict on_answer(std::uint64_t ticket, Answer answer) override;
-  // Users, deadlines, idle time and cap of a new configuration; the address and the classes stay.
+  // Users, classes, deadlines, idle time and cap of a new configuration; the address stays.
   void reload(const MysqlFrontConfig& config);
   // Takes no new connections; those that are open are served until the program ends.
   void drain();
@@ -38,7 +38,6 @@
   Log& log_;
   Dispatcher& core_;
   MysqlFrontConfig config_;
-  lemonshift::ClassIndex read_class_, load_class_;
   std::uint64_t id_state_;
   std::uint32_t next_thread_ = 1;
   SlotTable<std::unique_ptr<Connection>> connections_;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -182,23 +182,54 @@
 
 class Router::Impl {
  public:
-  explicit Impl(Settings settings) : s_(std::move(settings)) {
+  explicit Impl(Settings settings) : s_(checked(std::move(settings))) {
+    for (const auto& c : s_.classes) classes_.push_back(untried(c));
+    mean_run_ = classes_.front().mean_work / s_.classes.front().threads;
+    share_out();
+  }
+
+  // What is open goes on under its class's entry, which stays; what is known of a class goes on under its
+  // name.
+  void change(Settings settings) {
+    const auto old = std::exchange(s_, checked(std::move(settings)));
+    const auto known = std::exchange(classes_, {});
+    for (std::size_t i = 0; i < s_.classes.size(); ++i) {
+      const auto& c = s_.classes[i];
+      const bool same = i < old.classes.size() && old.classes[i] == c;
+      const auto named =
+          std::find_if(old.classes.begin(), old.classes.end(), [&](auto& o) { return o.name == c.name; });
+      if (same)
+        classes_.push_back(known[i]);
+      else if (named != old.classes.end())
+        classes_.push_back(known[static_cast<std::size_t>(named - old.classes.begin())]);
+      else
+        classes_.push_back(untried(c));
+    }
+    tenants_.clear();
+    share_out();
+  }
+
+  static Settings checked(Settings s) {
     const auto refuse = [](const char* name) { throw BadSettings(std::string("setting ") + name); };
-    if (s_.routers == 0) refuse("routers: none");
-    if (s_.ordinal >= s_.routers) refuse("ordinal: not below routers");
-    if (s_.classes.empty()) refuse("classes: none");
-    if (s_.max_attempts == 0) refuse("max_attempts: none");
-    if (s_.cold && !(s_.cold->from > 0 && s_.cold->from <= 1)) refuse("cold.from: not a share");
-    if (s_.cold && s_.cold->span <= 0) refuse("cold.span: not a time");
-    if (s_.attempt_budget && s_.attempt_budget->window <= 0) refuse("attempt_budget.window: not a time");
-    for (const auto& c : s_.classes) {
+    if (s.routers == 0) refuse("routers: none");
+    if (s.ordinal >= s.routers) refuse("ordinal: not below routers");
+    if (s.classes.empty()) refuse("classes: none");
+    if (s.max_attempts == 0) refuse("max_attempts: none");
+    if (s.cold && !(s.cold->from > 0 && s.cold->from <= 1)) refuse("cold.from: not a share");
+    if (s.cold && s.cold->span <= 0) refuse("cold.span: not a time");
+    if (s.attempt_budget && s.attempt_budget->window <= 0) refuse("attempt_budget.window: not a time");
+    for (const auto& c : s.classes) {
       if (c.threads < 1) refuse("class.threads: none");
       if (c.worth < 0) refuse("class.worth: negative");
       if (c.effect != Effect::kKeyed && c.repeat_window) refuse("class.repeat_window: class is not keyed");
-      classes_.emplace_back().mean_work =
-          std::max(1000.0, static_cast<double>(c.aim)) / kAimOverRun * c.threads;
+      if (c.max_attempts == 0U) refuse("class.max_attempts: none");
     }
-    mean_run_ = classes_.front().mean_work / s_.classes.front().threads;
+    return s;
+  }
+  static ClassState untried(const ClassSettings& c) {
+    return {.mean_work = std::max(1000.0, static_cast<double>(c.aim)) / kAimOverRun * c.threads};
+  }
+  void share_out() {
     gateways_ = s_.routers, tenant_share_ = 1 / gateways_;
     own_part_ = std::pow(s_.routers, -kOwnPart);
   }
@@ -243,6 +274,9 @@
     return found == requests_.end() ? nullptr : &found->second;
   }
   const ClassSettings& cls(const Request& r) const { return s_.classes[r.cls]; }
+  std::uint32_t most_attempts(const Request& r) const {
+    return cls(r).max_attempts.value_or(s_.max_attempts);
+  }
   static bool serves(const Engine& e) { return e.known && e.told.state == EngineState::kServing; }
 
   template <class Groups>
@@ -410,7 +444,7 @@
   }
 
   bool attempt_allowed(const Request& r, int out) const {  // attempts, copies, budget
-    if (r.over || now_ >= r.give_up_at || r.attempts.size() >= s_.max_attempts) return false;
+    if (r.over || now_ >= r.give_up_at || r.attempts.size() >= most_attempts(r)) return false;
     if (out > 0 && (!s_.second_copies || out > 1)) return false;
     return r.attempts.empty() || budget_left();
   }
@@ -760,12 +794,10 @@
     for (const auto& entry : list.entries) {
       auto& e = engines_[entry.id];
       e.list = lists_;
-      if (!e.known) {
-        e.hash = hash_text(entry.name);
-        if (entry.kind < s_.kinds.size()) {
-          e.cores = s_.kinds[entry.kind].cores.value_or(1);
-          e.memory = s_.kinds[entry.kind].memory_mb.value_or(0);
-        }
+      if (!e.known) e.hash = hash_text(entry.name);
+      if (entry.kind < s_.kinds.size()) {
+        e.cores = s_.kinds[entry.kind].cores.value_or(1);
+        e.memory = s_.kinds[entry.kind].memory_mb.value_or(0);
       }
       if (entry.started > 0 && (!e.known || entry.started != e.told.started)) restarted(e, entry.started);
       e.known = true;
@@ -920,7 +952,7 @@
   }
 
   bool can_go_on(const Request& r) const {  // a spent budget only holds it back for a while
-    if (r.attempts.size() >= s_.max_attempts || !time_left(r) || at_fault(r)) return false;
+    if (r.attempts.size() >= most_attempts(r) || !time_left(r) || at_fault(r)) return false;
     return cls(r).effect == Effect::kSafe || !has_run(r) ||
            std::any_of(engines_.begin(), engines_.end(), [&](auto& one) { return allowed(one.second, r); });
   }
@@ -1104,6 +1136,8 @@
   impl_->handle(now, events, actions);
 }
 
+void Router::change(Settings settings) { impl_->change(std::move(settings)); }
+
 std::size_t Router::avoided(Time now) const { return impl_->avoided(now); }
 
 }  // namespace lemonshift
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -29,8 +29,7 @@
 int main(int argc, char** argv) {
   using namespace rookproxy;
   return run_program(argc, argv, "rookproxy", kHelp, false, [](const ProgramOptions& options, Log& log) {
-    const auto load = [&] { return load_config(read_environment(), options.file); };
-    const Config config = load();
+    const Config config = load_config(read_environment(), options.file);
     if (options.check) return report_fine();
     log.set_host(config.name);
     configure_log(log, config.log);
@@ -38,7 +37,8 @@
     App app(loop, log, config);
     Signals signals(loop, {SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
       if (signal != SIGHUP) return app.drain();
-      app.reload(load);
+      app.reload(
+          [&](const Config& running) { return load_config(read_environment(), options.file, running); });
     });
     loop.run();
     // Connections still open are closed by the kernel; taking the tables down one by one would serve nobody.
--- a/tests/dispatch/parts.cpp
+++ b/tests/dispatch/parts.cpp
@@ -2,11 +2,14 @@
 #include <sys/socket.h>
 
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
 #include "config/config.h"
 #include "core/dispatcher.h"
+#include "core/rules.h"
 #include "log/log.h"
 #include "net/stream.h"
 #include "standins.h"
@@ -133,7 +136,7 @@
       nlohmann::json::parse(R"({"listen":"127.0.0.1:1","nameserver":"127.0.0.1:2","known":{"offset":1,
     "batch":[{"offset":1,"topology":{"complete":true,"members":[{"id":"a","host_port":"127.0.0.1:3","phase":"up"}]}}]},
     "settings":{"grades":[{"name":"q","effect":"pure","target":1,"deadline":5},
-    {"name":"w","effect":"side_effect","target":1,"deadline":5}]}})");
+    {"name":"w","effect":"side_effect","target":1,"deadline":5}],"permissions":{"max_attempts":2}}})");
   document.merge_patch(nlohmann::json::parse(patch));
   try {
     read_config(document);
@@ -152,6 +155,28 @@
   CHECK(fault_of(R"({"limits":{"sockets":3}})").starts_with("limits.sockets: out of range"));
   CHECK(fault_of(R"({"limits":{"memory_mb":"many"}})").starts_with("limits.memory_mb: not a number"));
   CHECK(fault_of(R"({"settings":{"grades":[]}})").starts_with("settings.grades: "));
+  CHECK(fault_of(R"({"settings":{"permissions":{"max_attempts":0}}})")
+            .starts_with("settings.permissions.max_attempts: "));
+  CHECK(fault_of(R"({"settings":{"permissions":null}})").starts_with("settings.permissions: missing"));
+  const auto with_class = [](const std::string& cls) {
+    return fault_of(R"({"settings":{"grades":[{"name":"q","effect":"pure","target":1,"deadline":5},)" + cls +
+                    "]}}");
+  };
+  CHECK(with_class(R"({"name":"v","effect":"pure","target":1,"deadline":5})").empty());
+  CHECK(with_class(R"({"name":"v","effect":"pure","target":1,"deadline":0})")
+            .starts_with("settings.grades.1.deadline: "));
+  CHECK(with_class(R"({"name":"v","effect":"pure","target":1})") == "settings.grades.1.deadline: missing");
+  CHECK(with_class(R"({"name":"v","target":1,"deadline":5})") == "settings.grades.1.effect: missing");
+  CHECK(with_class(R"({"name":"v","effect":"odd","target":1,"deadline":5})").find("effect") !=
+        std::string::npos);
+  CHECK(with_class(R"({"effect":"pure","target":1,"deadline":5})") == "settings.grades.1.name: missing");
+  CHECK(with_class(R"({"name":"q","effect":"pure","target":1,"deadline":5})").find("twice") !=
+        std::string::npos);
+  CHECK(with_class(R"({"name":"a\nb","effect":"pure","target":1,"deadline":5})")
+            .starts_with("settings.grades.1.name: "));
+  CHECK(fault_of(R"({"settings":{"ordinal":9}})").find("ordinal") != std::string::npos);
+  CHECK(fault_of(R"({"passed_socket":1})").starts_with("passed_socket: out of range"));
+  CHECK(fault_of(R"({"ops":"somewhere"})").starts_with("ops: "));
   CHECK(fault_of(R"({"settings":{"safety":{"drain_grace":-1}}})").find("safety.drain_grace") !=
         std::string::npos);
   CHECK(fault_of(R"({"known":{"batch":[{"topology":{"members":[{"id":"a"}]}}]}})") ==
@@ -170,6 +195,48 @@
   CHECK(fault_of(R"({"log":{"level":"loud"}})").starts_with("log.level: "));
 }
 
+TEST_CASE("config: a running dispatcher is not talked out of what it was told") {
+  // Guards against defaults in the place of keys that a broken file has lost.
+  const std::string folder = test::new_folder();
+  const std::string path = folder + "/config.json";
+  const auto example = read_toml(ROOKPROXY_ROOT "/deploy/mysql.toml");
+  const auto write = [&](const nlohmann::json& document) { std::ofstream(path) << document.dump(); };
+  write(example);
+  const Environment environment{path, "127.0.0.1:9", "", folder};
+  const Config running = load_config(environment, "");
+  CHECK(running.ops == Endpoint{0x7f000001, 9});  // the environment speaks of this very process
+  const auto fault_without = [&](const char* pointer) {
+    const nlohmann::json::json_pointer at(pointer);
+    auto document = example;
+    document[at.parent_pointer()].erase(at.back());
+    write(document);
+    try {
+      load_config(environment, "", running);
+    } catch (const ConfigError& fault) {
+      return std::string(fault.what());
+    }
+    return std::string();
+  };
+  for (const char* key : {"/settings", "/limits", "/seed", "/settings/safety", "/settings/fleet_size",
+                          "/settings/permissions/cancel", "/settings/domain/is_load"}) {
+    INFO(key);
+    CHECK(fault_without(key).find(nlohmann::json::json_pointer(key).back() + ": missing") !=
+          std::string::npos);
+  }
+  auto document = example;
+  document["settings"]["grades"][1].erase("late_worth");
+  write(document);
+  CHECK_THROWS_WITH(load_config(environment, "", running),
+                    Catch::Contains("settings.grades.1.late_worth: missing"));
+  CHECK(fault_without("/log").empty());
+  CHECK(fault_without("/settings/permissions/keepalive").find("keepalive") != std::string::npos);
+  for (const char* text : {"", "{\"settings\":{\"grades\":["}) {
+    std::ofstream(path) << text;
+    CHECK_THROWS_AS(load_config(environment, "", running), ConfigError);
+  }
+  std::filesystem::remove_all(folder);
+}
+
 TEST_CASE("config: the operator's example is fine and the known list is its events applied in order") {
   const auto example = read_toml(ROOKPROXY_ROOT "/deploy/mysql.toml");
   CHECK(read_config(example).mysql->load_class == "load");
@@ -317,3 +384,58 @@
   CHECK(bench.answers[0].again);
   CHECK(bench.orders.empty());
 }
+
+TEST_CASE("core: while settings change, the stricter of both bind") {
+  const auto named = [](const char* name, lemonshift::Effect effect, lemonshift::Time aim = 0) {
+    lemonshift::ClassSettings cls;
+    cls.name = name, cls.effect = effect, cls.aim = aim;
+    return cls;
+  };
+  constexpr auto kSafe = lemonshift::Effect::kSafe, kUnsafe = lemonshift::Effect::kUnsafe;
+  lemonshift::Settings former, fresh;
+  former.max_attempts = 2, fresh.max_attempts = 6;
+  former.classes = {named("a", kUnsafe), named("gone", kSafe), named("b", kSafe)};
+  fresh.classes = {named("a", kSafe, 7), named("b", kUnsafe), named("new", kSafe)};
+  const auto both = stricter(former, fresh);
+  REQUIRE(both.classes.size() == 4);
+  CHECK(both.classes[0].effect == lemonshift::Effect::kUnsafe);
+  CHECK(both.classes[0].aim == 7);
+  CHECK(both.classes[1].effect == lemonshift::Effect::kUnsafe);
+  CHECK(both.classes[3].name == "gone");
+  CHECK(both.max_attempts == 2);
+  CHECK(stricter(fresh, former).max_attempts == 2);
+}
+
+TEST_CASE("core: what is open keeps its rules, and a place is given back once nobody uses it") {
+  // Guards against a second run of what came as a load, and against a table that grows with each SIGHUP.
+  CoreBench bench;
+  bench.list({{"a", kUp}, {"b", kUp}});
+  auto settings = read_config(read_toml(ROOKPROXY_ROOT "/deploy/mysql.toml")).settings;
+  const RequestKey load = bench.ask("load", 9s), read = bench.ask("lookup", 9s);
+  REQUIRE(bench.orders.size() == 2);
+  std::swap(settings.classes[0].effect, settings.classes[1].effect);
+  CoreLimits limits;
+  limits.change_time = 1ms;
+  bench.core.change(settings, {"addis-dc1"}, limits);
+  bench.core.attempt_ended({load, 0}, {Outcome::kConnectionLost, std::nullopt, ""});
+  bench.core.attempt_ended({read, 0}, {Outcome::kConnectionLost, std::nullopt, ""});
+  bench.core.settle();
+  REQUIRE(bench.answers.size() == 1);  // the load's
+  CHECK(bench.answers[0].verdict == Verdict::kFailed);
+  CHECK(bench.run_until([&] { return bench.orders.size() == 3; }));
+  CHECK(bench.orders[2].key.request == read);
+  bench.core.attempt_ended(bench.orders[2].key, {Outcome::kServed, std::nullopt, "rows"});
+  bench.core.settle();
+  lemonshift::ClassIndex highest = 0;
+  for (int i = 0; i < 50; ++i) {
+    settings.max_attempts = 2 + i % 3;
+    bench.core.change(settings, {"addis-dc1"}, limits);
+    const Time now = bench.loop.now();
+    bench.run_until([&] { return bench.loop.now() > now + 5ms; });
+    highest = std::max({highest, *bench.core.class_named("lookup"), *bench.core.class_named("load")});
+  }
+  CHECK(highest < 6);
+  CHECK(bench.core.rules(*bench.core.class_named("lookup")).effect == lemonshift::Effect::kUnsafe);
+  CHECK(bench.figures.by_class["load"].failed == 1);
+  CHECK(bench.figures.by_class["lookup"].served == 1);
+}
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -183,10 +183,8 @@
 class Player {
  public:
   Player() {
-    const char* base = std::getenv("TMPDIR");
-    std::string path = std::string(base ? base : "/tmp") + "/rookproxy-test-XXXXXX";
-    require(::mkdtemp(path.data()) != nullptr, "no folder");
-    folder_ = path;
+    folder_ = new_folder();
+    require(!folder_.empty(), "no folder");
   }
   ~Player() { std::filesystem::remove_all(folder_); }
   std::string log() const {
--- a/tests/dispatch/scenarios.cpp
+++ b/tests/dispatch/scenarios.cpp
@@ -887,3 +887,83 @@
     expect c served 1 one\n
     expect dispatcher exit 0)");
 }
+
+TEST_CASE("SIGHUP: a class is added, another changes and is dropped; broken settings change nothing") {
+  // Guards against requests of a class that clients know and we don't, and against half a configuration.
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 lookup 20000 SELECT 1
+    expect a REQ queue=lookup
+    send c fields 2 op=marks,call=00000000000000a1,ttl=3000 SELECT 2
+    expect c failed 2 op
+    set /settings/permissions/max_attempts 0
+    configure
+    signal HUP
+    expect log the former settings stay: settings.permissions.max_attempts
+    set /settings/permissions/max_attempts 2
+    set /settings/grades/0/effect "side_effect"
+    set /settings/grades/2 {"name":"marks","effect":"pure","value":1.0,"target":600000,"aim_stretch":1.5,"deadline":3000000,"late_worth":0.1}
+    set /settings/grades/2/deadline -1
+    configure
+    signal HUP
+    expect log the former settings stay: settings.grades.2.deadline
+    expect figure load_errors=2
+    set /settings/grades/2/deadline 3000000
+    configure
+    signal HUP
+    expect figure loads=1
+    expect figure passed.marks=0
+    send c request 3 marks 3000 SELECT 3
+    expect a REQ queue=marks
+    send a data parts=1 three\n
+    expect c served 3 three\n
+    send c request 4 lookup 3000 UPDATE 4
+    expect a REQ queue=lookup
+    close a
+    expect c failed 4
+    expect a REQ queue=lookup
+    send a data parts=1 one\n
+    expect c served 1 one\n
+    expect log the new settings bind alone
+    set /settings/grades [{"name":"marks","effect":"pure","value":1.0,"target":600000,"aim_stretch":1.5,"deadline":3000000,"late_worth":0.1}]
+    configure
+    signal HUP
+    expect figure loads=2
+    send c request 5 load 3000 UPDATE 5
+    expect a REQ queue=load
+    send a data parts=1 five\n
+    expect c served 5 five\n
+    wait 2500
+    send c request 6 load 3000 UPDATE 6
+    expect c failed 6 op
+    expect figure passed.load=1)");
+}
+
+TEST_CASE("mysql: SIGHUP leads statements to other classes, and the front stays") {
+  play(R"(
+    mysql-engines a
+    start
+    mysql m
+    send m query INSERT INTO s_1.t VALUES ('one')
+    expect m ok
+    set /settings/grades/0 {"name":"marks","effect":"side_effect","value":1.0,"target":600000,"aim_stretch":1.5,"deadline":3000000,"late_worth":0.1}
+    set /mysql/read_class "load"
+    set /mysql/load_class "marks"
+    configure
+    signal HUP
+    expect figure loads=1
+    send m query INSERT INTO s_1.t VALUES ('two')
+    expect m ok
+    expect figure passed.marks=1
+    expect figure passed.load=1
+    set /mysql null
+    configure
+    signal HUP
+    expect log the former settings stay: mysql: missing
+    send m query INSERT INTO s_1.t VALUES ('three')
+    expect m ok
+    expect figure passed.marks=2
+    expect duplicates 0)");
+}
--- a/tests/dispatch/standins.cpp
+++ b/tests/dispatch/standins.cpp
@@ -28,6 +28,12 @@
 
 }  // namespace
 
+std::string new_folder() {
+  const char* base = std::getenv("TMPDIR");
+  std::string path = std::string(base ? base : "/tmp") + "/rookproxy-test-XXXXXX";
+  return ::mkdtemp(path.data()) ? path : "";
+}
+
 bool readable(const Fd& fd, std::chrono::milliseconds within) {
   pollfd one{fd.get(), POLLIN, 0};
   return ::poll(&one, 1, static_cast<int>(within.count())) > 0;
--- a/tests/dispatch/standins.h
+++ b/tests/dispatch/standins.h
@@ -43,6 +43,7 @@
   bool ended_ = false;
 };
 
+std::string new_folder();
 bool readable(const Fd& fd, std::chrono::milliseconds within);
 Fd listen_anywhere();
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -86,6 +86,7 @@
     return found;
   }
   std::vector<Send> sends() const { return all<Send>(); }
+  Router& router() { return router_; }
   std::size_t answers() const { return all<Refuse>().size() + all<Fail>().size(); }
 
   std::vector<Action> actions;
@@ -1563,5 +1564,69 @@
   EXPECT_EQ(s.all<FollowList>().size(), 0u);
 }
 
+// ---- settings that change ----
+
+TEST(Change, OpenRequestsKeepTheirClassAndItsAttempts) {
+  auto settings = basic();
+  settings.classes[0].max_attempts = 2;
+  Script s(settings);
+  s.list(0, {engine(0), engine(1)});
+  s.at(1, {query(1)});
+  auto other = settings.classes[0];
+  other.effect = Effect::kUnsafe, other.max_attempts = 1;
+  settings.classes.push_back(other);
+  s.router().change(settings);
+  auto unsafe = query(2);
+  unsafe.cls = 1;
+  s.at(2, {unsafe});
+  const auto at = s.sends()[0].engine;
+  s.at(3, {ended(1, 0, s.all_sends[0].engine, Outcome::kError)});
+  ASSERT_EQ(s.sends().size(), 1u);  // safe, and it has a second attempt
+  s.at(4, {ended(2, 0, at, Outcome::kTurnedAway)});
+  EXPECT_TRUE(s.sends().empty());  // it never ran, but had one attempt
+  EXPECT_EQ(s.all<Refuse>().size(), 1u);
+  s.at(5, {ended(1, 1, s.all_sends[2].engine, Outcome::kTurnedAway)});
+  EXPECT_TRUE(s.sends().empty());
+  EXPECT_EQ(s.answers(), 1u);
+}
+
+TEST(Change, MeansAndHealthGoOn) {
+  Script s(basic());
+  s.list(0, {engine(0), engine(1), engine(2)});
+  s.at(1, {query(1, 7)});
+  const auto home = s.sends()[0].engine;
+  s.at(2, {query(2, 8)});
+  const auto broken = s.sends()[0].engine;
+  ASSERT_NE(broken, home);
+  s.at(3, {ended(2, 0, broken, Outcome::kNoConnection)});
+  EXPECT_EQ(s.router().avoided(3), 1u);
+  auto settings = basic();
+  settings.classes[0].worth = 5;
+  s.router().change(settings);
+  EXPECT_EQ(s.router().avoided(3), 1u);
+  s.at(4, {query(3, 7)});
+  ASSERT_EQ(s.sends().size(), 1u);
+  EXPECT_EQ(s.sends()[0].engine, home);
+}
+
+TEST(Change, WhatIsTurnedDownChangesNothing) {
+  Script s(basic());
+  s.list(0, {engine(0)});
+  auto settings = basic();
+  settings.max_attempts = 0;
+  EXPECT_THROW(s.router().change(settings), BadSettings);
+  s.at(1, {query(1)});
+  s.at(2, {ended(1, 0, 0, Outcome::kTurnedAway)});
+  EXPECT_EQ(s.answers(), 0u);
+}
+
+TEST(Avoided, CountsWhatIsListedAndGetsNothing) {
+  Script s(basic());
+  auto draining = engine(1), gone = engine(2);
+  draining.state = EngineState::kDraining, gone.state = EngineState::kGone;
+  s.list(0, {engine(0), draining, gone});
+  EXPECT_EQ(s.router().avoided(0), 1u);
+}
+
 }  // namespace
 }  // namespace lemonshift
