Wait 2.6 s for a frame from its first byte, and let writers give way last

Seen: clients write requests in up to 2 s, and patience was 2 s from connecting; at the cap of connections the oldest that never spoke a whole frame went first, though it might be writing. Lines at fault: FramesFront::Limits::patience, Connection::quiet_since. The listening queue held 512, crowds are of thousands. Ruled out: memory and descriptors (1 of 24 MB, 130 of 192 at the most).

--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -135,7 +135,7 @@
       : front_(front),
         key_(key),
         stream_(front.loop_, std::move(fd), *this, false, frames::kMostLength + 4096) {
-    wait_for_frame();
+    wait_for_frame(front.limits_.silence);
   }
   ~Connection() {
     front_.loop_.cancel(idle_timer_);
@@ -186,11 +186,13 @@
     write(frames::make_answer(stream, code, fields, body));
     rest();
   }
-  // Nothing is open: such a connection may be closed, the longest quiet first, before all those that never
-  // spoke.
+  // Nothing is open: such a connection may be closed.
   bool may_go() const { return open_.empty() && !dead_; }
-  std::pair<bool, Time> quiet_since() const {
-    return {spoken_at_ != Time(), std::max(spoken_at_, began_at_)};
+  // The least goes first: of each kind the longest quiet one.
+  enum class Quiet { kSilent, kStoppedHalfway, kIdle, kWriting };
+  std::pair<Quiet, Time> quiet_since() const {
+    if (begun_) return {is_receiving() ? Quiet::kWriting : Quiet::kStoppedHalfway, heard_at_};
+    return {spoken_at_ == Time() ? Quiet::kSilent : Quiet::kIdle, heard_at_};
   }
   std::size_t untaken() const { return stream_.queued(); }
   void go_away() { write(frames::make_frame(frames::kGoAway, 0, "")); }
@@ -220,7 +222,7 @@
   // A frame has begun. It may take up its length only while the budget for large ones lasts, and only for so
   // long.
   std::size_t begin(std::string_view bytes) {
-    if (!std::exchange(begun_, true)) wait_for_frame();
+    if (!std::exchange(begun_, true)) wait_for_frame(front_.limits_.patience);
     if (bytes.size() < frames::kHeader || reserved_ > 0) return 0;
     frames::Frame head;
     const std::size_t length = frames::frame_length(bytes, head);
@@ -240,9 +242,9 @@
   }
 
   // Silence is no request, and half a frame neither: they hold descriptors that others need.
-  void wait_for_frame() {
+  void wait_for_frame(Duration span) {
     front_.loop_.cancel(frame_timer_);
-    frame_timer_ = front_.loop_.at(front_.loop_.now() + front_.limits_.patience, [this] {
+    frame_timer_ = front_.loop_.at(front_.loop_.now() + span, [this] {
       if (open_.empty()) return front_.drop(key_);
       broken("a frame that did not end");
     });
@@ -361,7 +363,7 @@
   bool dead_ = false;
   std::size_t reserved_ = 0;  // of the budget for large frames
   bool begun_ = false;        // a frame, that is not yet whole
-  Time began_at_ = front_.loop_.now(), heard_at_ = began_at_, spoken_at_{};
+  Time heard_at_ = front_.loop_.now(), spoken_at_{};
   TimerKey idle_timer_{}, frame_timer_{};
   Stream stream_;
 };
@@ -393,8 +395,8 @@
   return sum;
 }
 
-// Silent ones, and those that asked once and stay for good, must not shut out who comes to ask: the longest
-// quiet connection without a request gives way, those that never spoke first.
+// Silent ones, those that stopped halfway, and those that asked once and stay for good must not shut out who
+// comes to ask, or who is still writing: of what has no request open, they give way in this order.
 bool FramesFront::make_room() {
   if (connections_.size() < limits_.most_connections) return true;
   SlotKey quietest = 0;
--- a/src/front/frames.h
+++ b/src/front/frames.h
@@ -55,8 +55,9 @@
     // For all connections together: frames that have begun and are larger than usual; answers not taken.
     std::size_t most_unfinished = 4u << 20, most_untaken = 8u << 20;
     Duration idle = std::chrono::seconds(60);
-    // The first frame is there after this, and any frame that has begun is whole.
-    Duration patience = std::chrono::seconds(2);
+    // Who has not said a byte by then is closed; a frame is whole so long after its first byte. Clients write
+    // one in up to 2 s, and bad ones are owed a close within 3 s of connecting.
+    Duration silence = std::chrono::milliseconds(2500), patience = std::chrono::milliseconds(2600);
   };
   // Accepts nothing until it is told to.
   FramesFront(Loop& loop, Log& log, Dispatcher& core, Fd listener, Limits limits);
--- a/src/net/fd.cpp
+++ b/src/net/fd.cpp
@@ -15,6 +15,9 @@
 namespace rookproxy {
 namespace {
 
+// Crowds come faster than a turn takes; what finds no place here comes again a second later.
+constexpr int kBacklog = 4096;
+
 Fd new_socket(int family, int type) { return Fd(::socket(family, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)); }
 
 template <class Address>
@@ -26,7 +29,7 @@
 template <class Address>
 Fd bound_listener(Fd fd, const Address& address) {
   if (!fd || ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
-      ::listen(fd.get(), 512) != 0) {
+      ::listen(fd.get(), kBacklog) != 0) {
     return Fd();
   }
   return fd;
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -178,6 +178,7 @@
   Peer peer;
   bool mysql = false;
   std::vector<std::uint32_t> statements;  // by order of their prepares
+  std::string unsent = {};                // of a frame that was begun
 };
 
 class Player {
@@ -218,6 +219,10 @@
       return start();
     }
     if (verb == "hold") return hold();
+    if (verb == "crowd") {
+      for (int left = std::stoi(word()); left > 0; --left) held_.push_back(Peer::connect(frames_port_));
+      return;
+    }
     if (verb == "client") return connect();
     if (verb == "mysql") return log_in();
     if (verb == "knock") {
@@ -392,6 +397,9 @@
 
   void send_frame(Client& client, std::string what) {
     std::chrono::milliseconds pause{0};
+    const bool half = what == "begin";
+    if (half) what = word();
+    if (what == "finish") return client.peer.send(std::exchange(client.unsent, ""));
     if (what == "slowly") pause = std::chrono::milliseconds(std::stoi(word()) / 10), what = word();
     if (what == "hex") return client.peer.send(from_hex(word()));
     const auto stream = static_cast<std::uint32_t>(std::stoul(word()));
@@ -418,6 +426,10 @@
       payload += static_cast<char>(value.size()) + value;
     }
     const std::string frame = frames::make_frame(frames::kRequest, stream, payload + rest());
+    if (half) {
+      client.unsent = frame.substr(frame.size() / 2);
+      return client.peer.send(frame.substr(0, frame.size() / 2));
+    }
     const std::size_t piece = pause == 0ms ? frame.size() : (frame.size() + 9) / 10;
     for (std::size_t at = 0; at < frame.size(); at += piece) {
       client.peer.send(std::string_view(frame).substr(at, piece));
--- a/tests/dispatch/scenario.h
+++ b/tests/dispatch/scenario.h
@@ -17,6 +17,8 @@
 //   knock C                         connects to the MySQL front and says nothing
 //   send C request STREAM CLASS TTL TEXT | send C fields STREAM NAME=VALUE,... TEXT
 //   send C slowly MS request ...    the same in ten pieces, over that time
+//   send C begin request ... | send C finish     its first half, the rest of it
+//   crowd N                          N clients that connect and say nothing
 //   send C abandon STREAM | send C ready STREAM | send C hex BYTES
 //   expect C served|refused|failed STREAM [TEXT] | expect C ready CODE | expect C goaway | expect C error
 //   expect A REQ TEXT               the engine's next command, its fields and body in part; also FETCH, END, STOP
--- a/tests/dispatch/scenarios.cpp
+++ b/tests/dispatch/scenarios.cpp
@@ -967,3 +967,26 @@
     expect figure passed.marks=2
     expect duplicates 0)");
 }
+
+TEST_CASE("who writes a request slowly is waited for, also in a crowd of silent ones") {
+  // Guards against closing on a request that takes 2 s to write, and against a crowd that pushes its writer
+  // out.
+  play(R"(
+    engines a
+    set /limits/sockets 32
+    start
+    client c
+    send c slowly 2200 request 1 lookup 3000 SELECT 1
+    expect a REQ
+    send a data parts=1 one\n
+    expect c served 1 one\n
+    client w
+    client v
+    send w begin request 1 lookup 3000 SELECT 2
+    crowd 40
+    send w finish
+    expect a REQ
+    send a data parts=1 two\n
+    expect w served 1 two\n
+    expect v closed)");
+}
