The agent holds sockets, upgrades its instances and shows their figures; MySQL upgrades

Seen: figures and upgrades were there, but staff who use the agent had neither, and the MySQL front shut its door at SIGTERM whoever came next. Lines at fault: Supervisor::restart as the only way to a new program, MysqlFront::drain. Done: Supervisor::upgrade with OpsCall, rookproxyctl upgrade and figures (exit code 6: nothing has changed); a passed socket for the MySQL front, which leaves the door to a ready successor and lets each client go behind its next answer. Checked: an upgrade with a successor that never becomes ready leaves the former in charge; loads run once. Ruled out: an error packet out of turn to idle MySQL clients, which older libraries take for the answer to their next command.

--- a/src/agent/server.cpp
+++ b/src/agent/server.cpp
@@ -95,10 +95,12 @@
       if (what == "start") fault = supervisor_.start(name);
       if (what == "drain") fault = supervisor_.drain(name);
       if (what == "restart") fault = supervisor_.restart(name);
+      if (what == "upgrade") fault = supervisor_.upgrade(name);
     }
     if (what == "shutdown" && fault.empty()) {
       loop_.defer(shut_down_);
-    } else if (what != "status" && what != "start" && what != "drain" && what != "restart") {
+    } else if (what != "status" && what != "start" && what != "drain" && what != "restart" &&
+               what != "upgrade") {
       if (fault.empty()) fault = "unknown request '" + what + "'";
     }
     if (what != "status") log_.line(Level::kInfo, "agent", what, {{"fault", fault}});
@@ -114,6 +116,8 @@
          {"pid", one.process},
          {"restarts", one.restarts},
          {"last_exit", one.last_exit},
+         {"ops", one.ops},
+         {"upgrade", one.upgrade},
          {"since_ms", std::chrono::duration_cast<std::chrono::milliseconds>(one.since).count()}});
   }
   return json{{"ok", true}, {"instances", std::move(instances)}}.dump();
--- a/src/agent/supervisor.cpp
+++ b/src/agent/supervisor.cpp
@@ -1,5 +1,6 @@
 #include "agent/supervisor.h"
 
+#include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -26,6 +27,15 @@
   return "unknown";
 }
 
+namespace {
+constexpr Duration kAskEvery = std::chrono::milliseconds(100);
+
+std::string exit_text(int status) {
+  return WIFEXITED(status) ? "exit " + std::to_string(WEXITSTATUS(status))
+                           : "signal " + std::to_string(WTERMSIG(status));
+}
+}  // namespace
+
 Supervisor::Supervisor(Loop& loop, Log& log, const AgentConfig& config)
     : loop_(loop), log_(log), config_(config) {
   for (const auto& one : config_.instances) {
@@ -33,12 +43,22 @@
     instance.config = one;
     instance.since = loop_.now();
     instance.pause = config_.backoff_first;
+    for (const auto& address : one.listen) {
+      instance.sockets.push_back(listen_tcp(address));
+      if (!instance.sockets.back()) {
+        throw ConfigError("listen of " + one.name,
+                          "can't listen on " + address.text() + ": " + std::strerror(errno));
+      }
+    }
     instances_.push_back(std::move(instance));
   }
 }
 
 Supervisor::~Supervisor() {
-  for (auto& instance : instances_) loop_.cancel(instance.timer);
+  for (auto& instance : instances_) {
+    loop_.cancel(instance.timer);
+    loop_.cancel(instance.upgrade_timer);
+  }
 }
 
 Supervisor::Instance* Supervisor::find(const std::string& name) {
@@ -60,8 +80,7 @@
   }
 }
 
-void Supervisor::spawn(Instance& instance) {
-  loop_.cancel(instance.timer);
+pid_t Supervisor::launch(const Instance& instance, std::size_t ops_at) {
   const pid_t agent = ::getpid();
   const pid_t process = ::fork();
   if (process == 0) {
@@ -75,42 +94,125 @@
     ::prctl(PR_SET_PDEATHSIG, SIGTERM);
     if (::getppid() != agent) ::_exit(125);
     for (const auto& [name, value] : instance.config.environment) ::setenv(name.c_str(), value.c_str(), 1);
+    if (ops_at < instance.config.ops.size()) {
+      ::setenv("NODE_OPS", instance.config.ops[ops_at].text().c_str(), 1);
+    }
+    if (!instance.sockets.empty()) ::setenv("NODE_PASSED_SOCKET", "3", 1);
+    // First out of the way of the numbers that they are to have.
+    std::vector<int> apart;
+    for (const Fd& socket : instance.sockets) apart.push_back(::fcntl(socket.get(), F_DUPFD_CLOEXEC, 64));
+    for (std::size_t i = 0; i < apart.size(); ++i) ::dup2(apart[i], static_cast<int>(3 + i));
     std::vector<char*> words;
-    for (auto& word : instance.config.command) words.push_back(word.data());
+    for (auto& word : instance.config.command) words.push_back(const_cast<char*>(word.data()));
     words.push_back(nullptr);
     ::execvp(words[0], words.data());
     ::_exit(127);
   }
   if (process < 0) {
     log_.line(Level::kError, "agent", std::strerror(errno), {{"instance", instance.config.name}});
-    instance.process = 0;
-    return ended(instance, 127 << 8);
+    return 0;
   }
-  instance.process = process;
+  return process;
+}
+
+void Supervisor::spawn(Instance& instance) {
+  loop_.cancel(instance.timer);
+  instance.process = launch(instance, instance.ops_at);
+  if (instance.process == 0) return ended(instance, 127 << 8);
   instance.started = loop_.now();
   enter(instance, State::kRunning);
 }
 
+std::string Supervisor::upgrade(const std::string& name) {
+  Instance* instance = find(name);
+  if (!instance) return "no instance '" + name + "'";
+  if (instance->config.listen.empty() || instance->config.ops.size() != 2) {
+    return "instance '" + name + "' can't be upgraded: it needs `listen` and two addresses in `ops`";
+  }
+  if (instance->state != State::kRunning) return "instance '" + name + "' does not run";
+  if (instance->successor != 0 || instance->leaving != 0) return "instance '" + name + "' is being upgraded";
+  instance->successor = launch(*instance, 1 - instance->ops_at);
+  if (instance->successor == 0) return "instance '" + name + "': no process could be started";
+  instance->upgrade = "in progress";
+  instance->ready_by = loop_.now() + config_.ready_within;
+  log_.line(Level::kNotice, "agent", "upgrade begins",
+            {{"instance", name}, {"successor", std::to_string(instance->successor)}});
+  ask_successor(*instance);
+  return "";
+}
+
+// Asked again and again until it says yes: nothing is taken from the process that serves before that.
+void Supervisor::ask_successor(Instance& instance) {
+  if (instance.successor == 0) return;
+  if (loop_.now() >= instance.ready_by) {
+    log_.line(Level::kWarning, "agent", "the successor is not ready in time, killed",
+              {{"instance", instance.config.name}});
+    ::kill(instance.successor, SIGKILL);
+    return;
+  }
+  instance.call = std::make_unique<OpsCall>(loop_, instance.config.ops[1 - instance.ops_at], "STATUS",
+                                            kAskEvery, [this, &instance](std::string answer) {
+                                              if (answer.starts_with("+OK")) return promote(instance);
+                                              instance.upgrade_timer =
+                                                  loop_.at(loop_.now() + kAskEvery,
+                                                           [this, &instance] { ask_successor(instance); });
+                                            });
+}
+
+void Supervisor::promote(Instance& instance) {
+  instance.leaving = std::exchange(instance.process, std::exchange(instance.successor, 0));
+  instance.ops_at = 1 - instance.ops_at;
+  instance.started = loop_.now();
+  enter(instance, State::kRunning);
+  if (instance.leaving == 0) return end_upgrade(instance, "done");
+  ::kill(instance.leaving, SIGTERM);
+  loop_.cancel(instance.upgrade_timer);
+  instance.upgrade_timer = loop_.at(loop_.now() + config_.stop_within, [this, &instance] {
+    log_.line(Level::kWarning, "agent", "the former process drains for too long, killed",
+              {{"instance", instance.config.name}});
+    ::kill(instance.leaving, SIGKILL);
+  });
+}
+
+void Supervisor::end_upgrade(Instance& instance, const std::string& how) {
+  loop_.cancel(instance.upgrade_timer);
+  instance.upgrade = how;
+  log_.line(Level::kNotice, "agent", "upgrade " + how, {{"instance", instance.config.name}});
+}
+
 void Supervisor::reap() {
   for (auto& instance : instances_) {
     int status = 0;
+    if (instance.leaving > 0 && ::waitpid(instance.leaving, &status, WNOHANG) == instance.leaving) {
+      instance.leaving = 0;
+      end_upgrade(instance, "done");
+    }
+    if (instance.successor > 0 && ::waitpid(instance.successor, &status, WNOHANG) == instance.successor) {
+      instance.successor = 0;
+      end_upgrade(instance, "failed: the successor ended with " + exit_text(status));
+    }
     if (instance.process > 0 && ::waitpid(instance.process, &status, WNOHANG) == instance.process) {
       ended(instance, status);
     }
   }
-  const bool gone =
-      std::all_of(instances_.begin(), instances_.end(), [](const Instance& i) { return i.process == 0; });
+  const bool gone = std::all_of(instances_.begin(), instances_.end(), [](const Instance& i) {
+    return i.process == 0 && i.successor == 0 && i.leaving == 0;
+  });
   if (gone && all_gone_) std::exchange(all_gone_, nullptr)();
 }
 
 void Supervisor::ended(Instance& instance, int status) {
   loop_.cancel(instance.timer);
-  instance.last_exit = WIFEXITED(status) ? "exit " + std::to_string(WEXITSTATUS(status))
-                                         : "signal " + std::to_string(WTERMSIG(status));
+  instance.last_exit = exit_text(status);
   const bool asked = instance.state == State::kDraining;
   log_.line(asked ? Level::kInfo : Level::kWarning, "agent", instance.last_exit,
             {{"instance", instance.config.name}, {"asked", asked ? "yes" : "no"}});
   instance.process = 0;
+  // It died beside a successor that was on its way: that is what is left.
+  if (instance.successor > 0 && !asked) {
+    ++instance.restarts;
+    return promote(instance);
+  }
   if (asked) {
     if (std::exchange(instance.start_again, false)) return spawn(instance);
     return enter(instance, State::kStopped);
@@ -150,6 +252,8 @@
   Instance* instance = find(name);
   if (!instance) return "no instance '" + name + "'";
   instance->start_again = false;
+  // An upgrade ends with it: nothing of the instance is to go on.
+  if (instance->successor > 0) ::kill(instance->successor, SIGKILL);
   if (instance->state == State::kRunning) terminate(*instance);
   if (instance->state == State::kWaiting) {
     loop_.cancel(instance->timer);
@@ -172,8 +276,9 @@
 std::vector<Supervisor::Status> Supervisor::status() const {
   std::vector<Status> all;
   for (const auto& one : instances_) {
-    all.push_back(
-        {one.config.name, one.state, one.process, one.restarts, one.last_exit, loop_.now() - one.since});
+    all.push_back({one.config.name, one.state, one.process, one.restarts, one.last_exit,
+                   loop_.now() - one.since,
+                   one.ops_at < one.config.ops.size() ? one.config.ops[one.ops_at].text() : "", one.upgrade});
   }
   return all;
 }
--- a/src/agent/supervisor.h
+++ b/src/agent/supervisor.h
@@ -9,6 +9,7 @@
 
 #include "config/agent_config.h"
 #include "net/loop.h"
+#include "ops/call.h"
 
 namespace rookproxy {
 
@@ -22,6 +23,8 @@
     int restarts = 0;       // that nobody asked for
     std::string last_exit;  // 'exit 2', 'signal 9'; empty: never
     Duration since{};       // in this state
+    std::string ops;        // where its process answers operators; empty: unknown here
+    std::string upgrade;    // the last one: empty, 'in progress', 'done' or 'failed: why'
   };
 
   Supervisor(Loop& loop, Log& log, const AgentConfig& config);
@@ -32,6 +35,8 @@
   std::string start(const std::string& name);
   std::string drain(const std::string& name);
   std::string restart(const std::string& name);
+  // Starts a second process beside the running one; once that is ready the former drains, else it serves on.
+  std::string upgrade(const std::string& name);
   // Drains all; calls back once none is left.
   void shut_down(std::function<void()> done);
   std::vector<Status> status() const;
@@ -49,10 +54,22 @@
     Time since, started;
     std::string last_exit;
     TimerKey timer{};
+    std::vector<Fd> sockets;
+    std::size_t ops_at = 0;  // of its addresses, the one that its process has
+    pid_t successor = 0;     // not ready yet
+    pid_t leaving = 0;       // the former process, on its way out
+    Time ready_by;
+    TimerKey upgrade_timer{};
+    std::unique_ptr<OpsCall> call;
+    std::string upgrade;
   };
   Instance* find(const std::string& name);
   void enter(Instance& instance, State state);
+  pid_t launch(const Instance& instance, std::size_t ops_at);
   void spawn(Instance& instance);
+  void ask_successor(Instance& instance);
+  void promote(Instance& instance);
+  void end_upgrade(Instance& instance, const std::string& how);
   void ended(Instance& instance, int status);
   void terminate(Instance& instance);
 
--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -71,12 +71,12 @@
   return fd;
 }
 
-Fd clients_listener(const Config& config) {
-  if (!config.passed_socket) return listener_at(*config.listen, "listen");
-  Fd fd = adopt_listener(*config.passed_socket);
+Fd clients_listener(const Endpoint& at, const std::optional<int>& passed, const std::string& table) {
+  if (!passed) return listener_at(at, (table + "listen").c_str());
+  Fd fd = adopt_listener(*passed);
   if (!fd) {
-    throw ConfigError("passed_socket", "descriptor " + std::to_string(*config.passed_socket) +
-                                           " is no TCP socket that listens: " + std::strerror(errno));
+    throw ConfigError(table + "passed_socket", "descriptor " + std::to_string(*passed) +
+                                                   " is no TCP socket that listens: " + std::strerror(errno));
   }
   return fd;
 }
@@ -102,21 +102,23 @@
   core_.settle();
   find_engines(config);
   if (config.listen) {
-    frames_ =
-        std::make_unique<FramesFront>(loop, log, core_, clients_listener(config), FramesFront::Limits());
-    if (config.passed_socket) siblings_.emplace(siblings_file(config));
-    if (siblings_ && !siblings_->has_seat()) {
-      log.line(Level::kWarning, "start", "no lock in the shared folder: taken to be alone",
-               {{"folder", config.shared_folder}});
-    }
+    frames_ = std::make_unique<FramesFront>(
+        loop, log, core_, clients_listener(*config.listen, config.passed_socket, ""), FramesFront::Limits());
     log.line(Level::kNotice, "start", "serving frames",
              {{"port", std::to_string(frames_->port())}, {"engines", std::to_string(config.known.size())}});
   }
   if (config.mysql) {
-    mysql_ = std::make_unique<MysqlFront>(loop, log, core_, listener_at(config.mysql->listen, "mysql.listen"),
-                                          *config.mysql, config.seed);
+    mysql_ = std::make_unique<MysqlFront>(
+        loop, log, core_, clients_listener(config.mysql->listen, config.mysql->passed_socket, "mysql."),
+        *config.mysql, config.seed);
     log.line(Level::kNotice, "start", "serving mysql", {{"port", std::to_string(mysql_->port())}});
   }
+  if (config.passed_socket || (config.mysql && config.mysql->passed_socket))
+    siblings_.emplace(siblings_file(config));
+  if (siblings_ && !siblings_->has_seat()) {
+    log.line(Level::kWarning, "start", "no lock in the shared folder: taken to be alone",
+             {{"folder", config.shared_folder}});
+  }
   if (config.ops) {
     OpsServer::Limits callers;
     callers.most_callers = ops_share(config.sockets);
@@ -140,6 +142,7 @@
   }
   ready_ = true;
   if (frames_) frames_->accept_clients(true);
+  if (mysql_) mysql_->accept_clients(true);
   if (siblings_ && !draining_) siblings_->say_ready(true);
   log_.line(Level::kNotice, "start", "ready to serve", {});
 }
@@ -159,6 +162,7 @@
   const std::size_t parts = shared_ ? 2 : 1, sockets = config_.sockets / parts;
   const std::size_t bytes = (config_.memory_mb << 20) / parts;
   if (frames_) frames_->resize(client_share(sockets), bytes / 8, bytes / 8);
+  if (mysql_) mysql_->resize(std::max<std::size_t>(1, config_.mysql->most_connections / parts));
   core_.hold_at_most(held_share(config_.memory_mb) / parts);
   PoolLimits limits = pool_limits(config_);
   limits.most_connections = engine_share(sockets);
@@ -194,17 +198,19 @@
   fresh.ops = config_.ops;
   fresh.passed_socket = config_.passed_socket;
   fresh.link = config_.link;
+  if (!mysql_) fresh.mysql.reset();
+  if (mysql_) fresh.mysql->passed_socket = config_.mysql->passed_socket;
   fresh.sockets = config_.sockets;
   fresh.memory_mb = config_.memory_mb;
   config_ = std::move(fresh);
   const Config& config = config_;
   configure_log(log_, config.log);
   core_.change(config.settings, config.zones, core_limits(config));
-  resize();
   find_engines(config);
   // With a directory the file's list is that of some start, perhaps long ago: the directory knows better.
   if (!directory_) core_.learn_members(config.known, false);
-  if (mysql_ && config.mysql) mysql_->reload(*config.mysql);
+  if (mysql_) mysql_->reload(*config.mysql);
+  resize();
   log_.line(Level::kNotice, "config", "reread",
             {{"nameserver", config.nameserver ? config.nameserver->text() : "-"}});
 }
@@ -214,7 +220,7 @@
   log_.line(Level::kNotice, "stop", "draining", {{"open", std::to_string(core_.open_requests())}});
   if (siblings_) siblings_->say_ready(false);
   if (frames_) frames_->drain();
-  if (mysql_) mysql_->drain();
+  if (mysql_ && !config_.mysql->passed_socket) mysql_->drain();
   drained_at_ = loop_.now();
   stop_from_ = drained_at_ + kStragglers;
   stop_when_idle();
@@ -222,7 +228,10 @@
 
 void App::stop_when_idle() {
   // A successor that is ready takes what waits at the socket; without one we serve it still.
-  if (frames_ && siblings_ && siblings_->another_is_ready()) frames_->accept_clients(false);
+  if (siblings_ && siblings_->another_is_ready()) {
+    if (frames_) frames_->accept_clients(false);
+    if (mysql_) mysql_->leave();
+  }
   const bool receiving = frames_ && loop_.now() - drained_at_ < kPiecesEnd && frames_->is_receiving();
   const bool idle = !receiving && core_.open_requests() == 0 && (!frames_ || frames_->is_flushed()) &&
                     (!mysql_ || mysql_->is_flushed());
--- a/src/config/agent_config.cpp
+++ b/src/config/agent_config.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 InstanceConfig read_instance(const Reader& reader) {
-  reader.only({"name", "command", "environment", "autostart"});
+  reader.only({"name", "command", "environment", "autostart", "listen", "ops"});
   InstanceConfig instance;
   instance.name = reader.text("name");
   const bool plain =
@@ -25,6 +25,19 @@
     instance.command.push_back(word.get<std::string>());
   }
   if (instance.command.empty()) throw ConfigError(reader.path("command"), "empty");
+  const auto addresses = [&reader](const char* key, std::size_t most) {
+    std::vector<Endpoint> list;
+    if (!reader.has(key)) return list;
+    for (const auto& entry : reader.need(key)) {
+      const auto address = entry.is_string() ? parse_endpoint(entry.get<std::string>()) : std::nullopt;
+      if (!address) throw ConfigError(reader.path(key), "not a list of addresses like 127.0.0.1:8443");
+      list.push_back(*address);
+    }
+    if (list.size() > most) throw ConfigError(reader.path(key), "more than " + std::to_string(most));
+    return list;
+  };
+  instance.listen = addresses("listen", 8);
+  instance.ops = addresses("ops", 2);
   if (reader.has("environment")) {
     const Reader environment = reader.table("environment");
     for (const auto& [name, value] : environment.json().items())
@@ -42,8 +55,8 @@
 
 AgentConfig read_agent_config(const nlohmann::json& document) {
   const Reader reader(document, "");
-  reader.only(
-      {"socket", "backoff_first_ms", "backoff_most_ms", "steady_ms", "stop_within_ms", "instances", "log"});
+  reader.only({"socket", "backoff_first_ms", "backoff_most_ms", "steady_ms", "ready_within_ms",
+               "stop_within_ms", "instances", "log"});
   AgentConfig config;
   config.socket = reader.text("socket");
   config.backoff_first = reader.milliseconds_or("backoff_first_ms", config.backoff_first, 1);
@@ -51,6 +64,7 @@
   if (config.backoff_most < config.backoff_first)
     throw ConfigError("backoff_most_ms", "less than backoff_first_ms");
   config.steady = reader.milliseconds_or("steady_ms", config.steady, 1);
+  config.ready_within = reader.milliseconds_or("ready_within_ms", config.ready_within, 1);
   config.stop_within = reader.milliseconds_or("stop_within_ms", config.stop_within, 1);
   std::set<std::string> names;
   std::size_t number = 0;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -139,11 +139,17 @@
   config.known = std::move(members);
 }
 
+std::optional<int> passed_socket(const Reader& reader) {
+  if (!reader.has("passed_socket")) return std::nullopt;
+  return static_cast<int>(reader.whole_or("passed_socket", 3, 3, 1'000'000));
+}
+
 void read_mysql(const Reader& mysql, Config& config) {
   mysql.only({"listen", "users", "read_class", "load_class", "read_deadline_ms", "load_deadline_ms",
-              "most_connections", "idle_ms"});
+              "most_connections", "idle_ms", "passed_socket"});
   MysqlFrontConfig front;
   front.listen = mysql.endpoint("listen");
+  front.passed_socket = passed_socket(mysql);
   const Reader users = mysql.table("users");
   for (const auto& [name, password] : users.json().items()) front.users[name] = users.text(name);
   if (front.users.empty()) throw ConfigError(mysql.path("users"), "names nobody, so nobody could log in");
@@ -226,10 +232,9 @@
   config.name = reader.text_or("name", config.name);
   if (reader.has("listen")) config.listen = reader.endpoint("listen");
   if (reader.has("ops")) config.ops = reader.endpoint("ops");
-  if (reader.has("passed_socket")) {
-    config.passed_socket = static_cast<int>(reader.whole_or("passed_socket", 3, 3, 1'000'000));
-    if (!config.listen) throw ConfigError("passed_socket", "there is no `listen` for it");
-  }
+  config.passed_socket = passed_socket(reader);
+  if (config.passed_socket && !config.listen)
+    throw ConfigError("passed_socket", "there is no `listen` for it");
   config.shared_folder = reader.text_or("shared_folder", "/tmp");
   if (reader.has("seed")) {
     const std::string seed = reader.text("seed");
@@ -294,15 +299,18 @@
       throw ConfigError(platform, fault.what());
     }
   }
+  if (!operators.empty()) document.merge_patch(read_toml(operators));
   if (!environment.ops.empty()) document["ops"] = environment.ops;
-  if (!environment.shared_folder.empty()) document["shared_folder"] = environment.shared_folder;
+  // $TMPDIR is set for many reasons: a folder that was named is meant.
+  if (!environment.shared_folder.empty() && !document.contains("shared_folder"))
+    document["shared_folder"] = environment.shared_folder;
   if (!environment.passed_socket.empty()) {
     const auto number = parse_number<int>(environment.passed_socket);
     if (!number)
       throw ConfigError("$NODE_PASSED_SOCKET", "not a number ('" + environment.passed_socket + "')");
-    document["passed_socket"] = *number;
+    // The platform's front has it; the MySQL front, where it stands alone.
+    (document.contains("listen") ? document : document["mysql"])["passed_socket"] = *number;
   }
-  if (!operators.empty()) document.merge_patch(read_toml(operators));
   Config config = read_config(document);
   config.document = std::make_shared<const json>(std::move(document));
   return config;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -27,6 +27,7 @@
   Duration read_deadline{}, load_deadline{};
   std::size_t most_connections = 100;
   Duration idle = std::chrono::minutes(5);
+  std::optional<int> passed_socket;  // an inherited descriptor that listens for `listen`
 };
 
 struct MysqlLinkConfig {
@@ -66,8 +67,8 @@
 };
 
 // `platform` is the path of the platform's JSON file, `operators` that of an operator's TOML file; either may
-// be empty. Where both name a key, the operator's file wins. What the environment says of this process wins
-// over the platform's file, which another process of the same dispatcher may have been given, too.
+// be empty. Where both name a key, the operator's file wins; what the environment says of this process wins
+// over both, which another process of the same dispatcher may have been given, too.
 struct Environment {
   std::string config, ops, passed_socket,
       shared_folder;  // $NODE_CONFIG, $NODE_OPS, $NODE_PASSED_SOCKET, $TMPDIR
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -21,7 +22,7 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::string_view kHelp =
-    "usage: rookproxyctl [options] status|start|drain|restart [NAME ...]\n"
+    "usage: rookproxyctl [options] status|start|drain|restart|upgrade|figures [NAME ...]\n"
     "       rookproxyctl [options] shutdown\n"
     "\n"
     "Without names, an order is for all instances.\n"
@@ -29,6 +30,8 @@
     "  start      starts what does not run\n"
     "  drain      lets it finish what it has, then stops it\n"
     "  restart    drains, then starts\n"
+    "  upgrade    starts a second process beside it; once that is ready the former drains\n"
+    "  figures    what each instance counts, as its operators' address tells\n"
     "  shutdown   drains all and ends the agent\n"
     "\n"
     "  --socket PATH  the agent's socket (default $ROOKPROXY_AGENT, else /run/rookproxy/agent.sock)\n"
@@ -37,9 +40,18 @@
     "  --json         prints the agent's answer as it is\n"
     "  --help         this text\n"
     "\n"
-    "Exit codes: 0 done, 1 the agent refused, 2 bad usage, 3 no agent there, 4 not in time, 5 not all run.\n";
+    "Exit codes: 0 done, 1 the agent refused, 2 bad usage, 3 no agent there, 4 not in time, 5 not all run,\n"
+    "6 an upgrade failed and the former process serves on.\n";
 
-enum Exit { kDone = 0, kRefused = 1, kUsage = 2, kNoAgent = 3, kNotInTime = 4, kNotRunning = 5 };
+enum Exit {
+  kDone = 0,
+  kRefused = 1,
+  kUsage = 2,
+  kNoAgent = 3,
+  kNotInTime = 4,
+  kNotRunning = 5,
+  kNotUpgraded = 6
+};
 
 struct Options {
   std::string socket, order;
@@ -98,12 +110,54 @@
   }
 }
 
+bool upgrading(const json& answer) {
+  const json instances = answer.value("instances", json::array());
+  return std::any_of(instances.begin(), instances.end(),
+                     [](const json& one) { return one.value("upgrade", "") == "in progress"; });
+}
+
 bool all_in(const json& answer, const std::string& state) {
   const json instances = answer.value("instances", json::array());
   return std::all_of(instances.begin(), instances.end(),
                      [&](const json& one) { return one.value("state", "") == state; });
 }
 
+// What an instance says at its operators' address, without the frame round it; nothing if it does not answer.
+std::optional<std::string> figures_of(const std::string& address, Clock::time_point until) {
+  const auto at = rookproxy::parse_endpoint(address);
+  const rookproxy::Fd fd = at ? rookproxy::connect_tcp(*at) : rookproxy::Fd();
+  if (!fd || !wait_for(fd, POLLOUT, until)) return std::nullopt;
+  rookproxy::send_best_effort(fd, "METRICS\n");
+  std::string answer;
+  for (char bytes[4096]; wait_for(fd, POLLIN, until);) {
+    const ssize_t got = ::recv(fd.get(), bytes, sizeof bytes, 0);
+    if (got <= 0) break;
+    answer.append(bytes, static_cast<std::size_t>(got));
+  }
+  if (!answer.starts_with("+OK\n") || !answer.ends_with("\n.\n")) return std::nullopt;
+  return answer.substr(4, answer.size() - 6);
+}
+
+// A line for each figure, with its instance's name before it.
+int print_figures(const json& answer, Clock::time_point until) {
+  int code = kDone;
+  for (const auto& one : answer.value("instances", json::array())) {
+    const std::string name = one.value("name", ""), address = one.value("ops", "");
+    const auto figures = figures_of(address, until);
+    if (!figures) {
+      std::cerr << "rookproxyctl: " << name
+                << (address.empty() ? ": the agent's file names no `ops` for it"
+                                    : ": no answer from " + address)
+                << "\n";
+      code = kNotRunning;
+      continue;
+    }
+    std::istringstream lines(*figures);
+    for (std::string line; std::getline(lines, line);) std::cout << name << " " << line << "\n";
+  }
+  return code;
+}
+
 int usage(const std::string& why) {
   std::cerr << "rookproxyctl: " << why << "\n" << kHelp;
   return kUsage;
@@ -112,7 +166,7 @@
 int run(const Options& options) {
   const auto until = Clock::now() + options.timeout;
   bool late = false;
-  auto answer = ask(options, options.order, until, late);
+  auto answer = ask(options, options.order == "figures" ? "status" : options.order, until, late);
   const auto unreachable = [&] {
     std::cerr << "rookproxyctl: " << (late ? "no answer in time from " : "no agent at ") << options.socket
               << "\n";
@@ -123,9 +177,12 @@
     std::cerr << "rookproxyctl: " << answer->value("error", "refused") << "\n";
     return kRefused;
   }
-  const std::string goal = options.order == "start" || options.order == "restart" ? "running" : "stopped";
+  if (options.order == "figures") return print_figures(*answer, until);
+  const std::string goal = options.order == "drain" || options.order == "shutdown" ? "stopped" : "running";
+  const bool upgrade = options.order == "upgrade";
   while (options.wait && options.order != "status") {
-    if (options.order == "shutdown" ? !answer : all_in(*answer, goal)) break;
+    if (options.order == "shutdown" ? !answer : all_in(*answer, goal) && !(upgrade && upgrading(*answer)))
+      break;
     if (Clock::now() >= until) {
       std::cerr << "rookproxyctl: not carried out in time\n";
       return kNotInTime;
@@ -135,6 +192,14 @@
     if (!answer && options.order != "shutdown") return unreachable();
   }
   if (answer) print(*answer, options.as_json);
+  if (upgrade && options.wait) {
+    for (const auto& one : answer->value("instances", json::array())) {
+      const std::string how = one.value("upgrade", "");
+      if (how == "done") continue;
+      std::cerr << "rookproxyctl: " << one.value("name", "") << ": upgrade " << how << "\n";
+      return kNotUpgraded;
+    }
+  }
   return options.order == "status" && !all_in(*answer, "running") ? kNotRunning : kDone;
 }
 
@@ -173,7 +238,8 @@
       options.names.push_back(word);
     }
   }
-  constexpr std::string_view kOrders[] = {"status", "start", "drain", "restart", "shutdown"};
+  constexpr std::string_view kOrders[] = {"status",  "start",   "drain",   "restart",
+                                          "upgrade", "figures", "shutdown"};
   if (options.order.empty()) return usage("no order");
   if (std::find(std::begin(kOrders), std::end(kOrders), options.order) == std::end(kOrders)) {
     return usage("unknown order '" + options.order + "'");
--- a/src/front/mysql.cpp
+++ b/src/front/mysql.cpp
@@ -131,6 +131,12 @@
       error(mysql::kUnknownError,
             "Failed, " + may_have_run() + (answer.detail.empty() ? "" : ": " + answer.detail));
     }
+    if (front_.leaving_ && state_ == State::kReady) {
+      // Its next command has a process that stays. What it may have sent already is not run.
+      state_ = State::kDead;
+      stream_.end_writing();
+      return close_after(kLinger);
+    }
     // What the client sent meanwhile has waited in the buffer.
     if (state_ == State::kReady) stream_.look_again();
   }
@@ -404,8 +410,8 @@
       config_(config),
       id_state_(seed ^ static_cast<std::uint64_t>(loop.now().time_since_epoch().count())),
       port_(local_port(listener)),
-      acceptor_(
-          std::make_unique<Acceptor>(loop, std::move(listener), [this](Fd fd) { accept(std::move(fd)); })) {}
+      acceptor_(std::make_unique<Acceptor>(
+          loop, std::move(listener), [this](Fd fd) { accept(std::move(fd)); }, false)) {}
 
 MysqlFront::~MysqlFront() = default;
 
@@ -469,6 +475,15 @@
   config_ = std::move(fresh);
 }
 
+void MysqlFront::accept_clients(bool accepting) {
+  if (acceptor_) accepting ? acceptor_->start() : acceptor_->stop();
+}
+
+void MysqlFront::leave() {
+  accept_clients(false);
+  leaving_ = true;
+}
+
 void MysqlFront::drain() {
   // Destroyed at the turn's end: the signal may have come in the middle of its own turn.
   loop_.defer([this] { acceptor_.reset(); });
--- a/src/front/mysql.h
+++ b/src/front/mysql.h
@@ -21,8 +21,14 @@
   Verdict on_answer(std::uint64_t ticket, Answer answer) override;
   // Users, classes, deadlines, idle time and cap of a new configuration; the address stays.
   void reload(const MysqlFrontConfig& config);
-  // Takes no new connections; those that are open are served until the program ends.
+  // Accepts nothing until it is told to.
+  void accept_clients(bool accepting);
+  // Takes no new connections, and those who come are turned away at once; those that are open are served
+  // until the program ends.
   void drain();
+  // A successor that is ready has the door: who is answered is let go, to log in anew there.
+  void leave();
+  void resize(std::size_t most_connections) { config_.most_connections = most_connections; }
   bool is_flushed();
   std::uint16_t port() const { return port_; }
 
@@ -42,6 +48,7 @@
   std::uint32_t next_thread_ = 1;
   SlotTable<std::unique_ptr<Connection>> connections_;
   std::uint16_t port_;
+  bool leaving_ = false;
   std::unique_ptr<Acceptor> acceptor_;
 };
 
--- a/tests/dispatch/agent.cpp
+++ b/tests/dispatch/agent.cpp
@@ -111,6 +111,50 @@
   CHECK(agent.ctl("status").code == 3);
 }
 
+TEST_CASE("agent: shows figures, and upgrades with a successor or not at all") {
+  // Guards against an upgrade that takes the running process away for one that never becomes ready.
+  const std::string folder = test::new_folder(), file = folder + "/dispatcher.toml";
+  const auto write = [&](const std::string& listen) {
+    std::ofstream(file)
+        << "name = \"n1\"\nlisten = \"" << listen << "\"\nshared_folder = \"" << folder
+        << "\"\nengines = [{id = \"a\", host_port = \"127.0.0.1:9\"}]\n[settings.permissions]\n"
+        << "max_attempts = 2\n[[settings.grades]]\nname = \"lookup\"\neffect = \"pure\"\n"
+        << "target = 600000\ndeadline = 3000000\n";
+  };
+  write("127.0.0.1:0");
+  // Addresses of this test's own: no other process has them.
+  const std::string net =
+      "127." + std::to_string(64 + ::getpid() / 256 % 128) + "." + std::to_string(::getpid() % 256);
+  const std::string command = std::string("\"") + ROOKPROXY_BINARY + "\", \"--file\", \"" + file + "\"";
+  Agent agent(instance("n1", command) + "listen = [\"" + net + ".1:0\"]\nops = [\"" + net + ".1:3399\", \"" +
+              net + ".2:3399\"]\n" + instance("plain", R"("sleep", "1000")"));
+  const auto end = std::chrono::steady_clock::now() + test::kPatience;
+  while (agent.ctl("figures n1").code != 0 && std::chrono::steady_clock::now() < end) ::usleep(10'000);
+  CHECK(agent.ctl("figures n1").out.find("n1 svc.passed.lookup=0\n") != std::string::npos);
+  CHECK(agent.ctl("figures").code == 5);  // nobody knows where 'plain' would answer
+  CHECK(agent.ctl("upgrade plain").code == 1);
+  const auto first = agent.status("n1");
+  CHECK(agent.ctl("--wait upgrade n1").code == 0);
+  const auto second = agent.status("n1");
+  CHECK(second["pid"] != first["pid"]);
+  CHECK(second["ops"] != first["ops"]);
+  CHECK(second["upgrade"] == "done");
+  CHECK(second["restarts"] == 0);
+  CHECK(agent.ctl("figures n1").code == 0);
+  write("nowhere");
+  const Run failed = agent.ctl("--wait upgrade n1");
+  CHECK(failed.code == 6);
+  CHECK(failed.out.find("failed: the successor ended with exit 2") != std::string::npos);
+  CHECK(agent.status("n1")["pid"] == second["pid"]);
+  CHECK(agent.ctl("figures n1").code == 0);
+  write("127.0.0.1:0");
+  CHECK(agent.ctl("--wait upgrade n1").code == 0);
+  CHECK(agent.status("n1")["ops"] == first["ops"]);
+  CHECK(agent.ctl("--wait shutdown").code == 0);
+  CHECK(agent.wait() == 0);
+  run("rm -r " + folder);
+}
+
 TEST_CASE("agent: what ends by itself is started again, each time after a longer pause") {
   Agent agent(instance("flaky", R"("sh", "-c", "exit 7")") + instance("missing", R"("/no/such/program")"));
   CHECK(agent.until("flaky", "restarts", 3));
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -67,17 +67,16 @@
 // The dispatcher's process; its log goes to a file that is read back.
 class Process {
  public:
-  void start(const std::string& folder, const std::string& log_path, const Fd& passed) {
+  void start(const std::string& folder, const std::string& log_path, const std::vector<Fd>& passed) {
     log_path_ = log_path;
     pid_ = ::fork();
     if (pid_ == 0) {
       ::setenv("NODE_CONFIG", (folder + "/config.json").c_str(), 1);
       ::setenv("TMPDIR", folder.c_str(), 1);
-      if (passed) {
-        ::setenv("NODE_PASSED_SOCKET", "3", 1);
-        const Fd apart(::fcntl(passed.get(), F_DUPFD, 10));  // it may be 3 already, and closed on exec
-        ::dup2(apart.get(), 3);
-      }
+      if (!passed.empty()) ::setenv("NODE_PASSED_SOCKET", "3", 1);
+      std::vector<Fd> apart;  // they may have these numbers already, and are closed on exec
+      for (const Fd& one : passed) apart.emplace_back(::fcntl(one.get(), F_DUPFD_CLOEXEC, 64));
+      for (std::size_t i = 0; i < apart.size(); ++i) ::dup2(apart[i].get(), static_cast<int>(3 + i));
       if (!std::freopen(log_path.c_str(), "w", stderr)) ::_exit(99);
       ::execl(ROOKPROXY_BINARY, "rookproxy", nullptr);
       ::_exit(99);
@@ -209,8 +208,14 @@
       return;
     }
     if (verb == "pass") {
-      passed_ = listen_anywhere();
-      config_["listen"] = "127.0.0.1:" + std::to_string(local_port(passed_));
+      const auto pass = [this](json& listen) {
+        passed_.push_back(listen_anywhere());
+        listen = "127.0.0.1:" + std::to_string(local_port(passed_.back()));
+      };
+      pass(config_["listen"]);
+      if (mysql_engines_.empty()) return;
+      pass(config_["mysql"]["listen"]);
+      config_["mysql"]["passed_socket"] = 4;
       return;
     }
     if (verb == "upgrade") {
@@ -564,6 +569,7 @@
     if (name == "log") return static_cast<void>(process_.wait_for(rest()));
     if (name == "executed" || name == "prepared" || name == "duplicates") return expect_count(name);
     const std::string what = word();
+    if (name == "old" && what == "log") return static_cast<void>(old_.wait_for(rest()));
     if (name == "dispatcher" || name == "old") {
       return require((name == "old" ? old_ : process_).exit_code() == std::stoi(word()), "another exit code");
     }
@@ -610,7 +616,7 @@
   std::map<std::string, Client> clients_;
   std::vector<Peer> held_;
   std::string answer_;
-  Fd passed_;
+  std::vector<Fd> passed_;
   Process old_, process_;
   int starts_ = 0;
   std::uint16_t frames_port_ = 0, mysql_port_ = 0;
--- a/tests/dispatch/scenario.h
+++ b/tests/dispatch/scenario.h
@@ -7,7 +7,7 @@
 //   start                           the dispatcher; waits until it serves
 //   configure [TEXT]                writes the configuration anew, as it stands or as that text
 //   signal TERM|HUP|KILL            to the dispatcher
-//   pass socket                     before start: the scenario holds the clients' socket, processes inherit it
+//   pass sockets                    before start: the scenario holds the fronts' sockets, processes inherit them
 //   upgrade                         a second process beside the first, which is 'old' from now on
 //   signal old TERM|KILL | call old TEXT
 //   directory A=up B=draining ...   what the directory lists from now on; waits until the dispatcher has it
@@ -36,7 +36,7 @@
 //   expect figure NAME=VALUE        waits until METRICS shows svc.NAME=VALUE
 //   hold N [TEXT]                   N connections to the operators' address, with no whole call on them
 //   expect log TEXT                 waits until the dispatcher's log holds it
-//   expect dispatcher exit CODE | expect old exit CODE
+//   expect dispatcher exit CODE | expect old exit CODE | expect old log TEXT
 // clang-format on
 #pragma once
 
--- a/tests/dispatch/scenarios.cpp
+++ b/tests/dispatch/scenarios.cpp
@@ -798,7 +798,7 @@
   // Guards against requests that end at the door: the former accepts nothing once a successor is ready.
   play(R"(
     engines a
-    pass socket
+    pass sockets
     start
     client c
     send c request 1 load 20000 INSERT INTO s_1.t VALUES (1)
@@ -838,7 +838,7 @@
   // Guards against a door that is shut while nobody else opens it, and against a lock that the dead hold.
   play(R"(
     engines a
-    pass socket
+    pass sockets
     start
     upgrade
     signal KILL
@@ -864,7 +864,7 @@
   play(R"(
     engines a
     set /limits/sockets 32
-    pass socket
+    pass sockets
     start
     upgrade
     expect log another process lives: half of every share
@@ -990,3 +990,33 @@
     expect w served 1 two\n
     expect v closed)");
 }
+
+TEST_CASE("mysql: an upgrade ends no statement, and who is answered logs in anew at the successor") {
+  // Guards against loads cut in half, run twice, or sent to a process that has gone.
+  play(R"(
+    mysql-engines a
+    pass sockets
+    start
+    mysql m
+    mysql idle
+    send m query INSERT INTO s_1.t VALUES ('sleep_3000')
+    expect executed 1 sleep
+    upgrade
+    signal old TERM
+    expect old log draining
+    call old STATUS
+    expect answer -ERR not ready: draining
+    mysql n
+    send n query INSERT INTO s_1.t VALUES ('new')
+    expect n ok
+    expect figure passed.load=1
+    send idle query INSERT INTO s_1.t VALUES ('last')
+    expect idle ok
+    expect idle closed
+    expect m ok
+    expect m closed
+    expect old exit 0
+    send n query INSERT INTO s_1.t VALUES ('more')
+    expect n ok
+    expect duplicates 0)");
+}
