Two processes of one dispatcher share what a cold engine may be sent

Done: Dispatcher::share, which halves the allowance and what may be held. Ruled out: halving all windows by doubling fleet_size, which would cost every request of the overlap. Test: sends to a cold engine alone and beside another, fails without the change.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -163,7 +163,7 @@
   const std::size_t bytes = (config_.memory_mb << 20) / parts;
   if (frames_) frames_->resize(client_share(sockets), bytes / 8, bytes / 8);
   if (mysql_) mysql_->resize(std::max<std::size_t>(1, config_.mysql->most_connections / parts));
-  core_.hold_at_most(held_share(config_.memory_mb) / parts);
+  core_.share(parts);
   PoolLimits limits = pool_limits(config_);
   limits.most_connections = engine_share(sockets);
   links_->change(limits);
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -42,6 +42,12 @@
   return found->second;
 }
 
+void Dispatcher::share(std::size_t parts) {
+  if (std::exchange(parts_, parts) == parts) return;
+  settle();
+  bind(binding_);
+}
+
 void Dispatcher::change(const lemonshift::Settings& fresh, std::vector<std::string> zones,
                         CoreLimits limits) {
   settle();  // what has come so far goes by the former settings
@@ -89,6 +95,8 @@
   while (!kept.empty() && !kept.back()) kept.pop_back(), table.pop_back();
   lemonshift::Settings next = fresh;
   next.classes = table;
+  // The rule counts what all send; another process of ours sends as well.
+  if (next.cold) next.cold->multiple /= static_cast<double>(parts_);
   router_.change(next);
   binding_ = fresh;
   settings_ = std::move(next);
@@ -112,7 +120,7 @@
   request.asker = &asker;
   request.ticket = ticket;
   request.bytes = arrival.query->bytes();
-  const bool no_room = held_ + request.bytes > limits_.held_bytes || unanswered_ >= limits_.max_open;
+  const bool no_room = held_ + request.bytes > limits_.held_bytes / parts_ || unanswered_ >= limits_.max_open;
   held_ += request.bytes;
   ++users_[arrival.cls];
   ++unanswered_;
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -52,7 +52,9 @@
   // A front has answered by itself what never became a request; its class is known.
   void turned_away(lemonshift::ClassIndex cls, Verdict verdict);
   Gauges gauges() const;
-  void hold_at_most(std::size_t bytes) { limits_.held_bytes = bytes; }
+  // So many processes stand in for this dispatcher now: each has its part of what may be held and of what an
+  // engine that has just started may be sent.
+  void share(std::size_t parts);
 
   // ---- from a directory
   void learn_members(const std::vector<Member>& members, bool remembered);
@@ -120,7 +122,7 @@
   lemonshift::Router router_;
   EngineLinks* links_ = nullptr;
   SlotTable<Request> requests_;
-  std::size_t unanswered_ = 0, held_ = 0;
+  std::size_t unanswered_ = 0, held_ = 0, parts_ = 1;
   std::unordered_map<std::string, EngineId> engine_ids_;
   std::vector<Engine> engines_;
   std::vector<lemonshift::Event> events_;
--- a/tests/dispatch/parts.cpp
+++ b/tests/dispatch/parts.cpp
@@ -439,3 +439,33 @@
   CHECK(bench.figures.by_class["load"].failed == 1);
   CHECK(bench.figures.by_class["lookup"].served == 1);
 }
+
+TEST_CASE("core: two processes of one dispatcher share what a cold engine may be sent") {
+  // Guards against an engine that has just started and is pushed over by both during an upgrade.
+  const auto sent_with = [](std::size_t parts) {
+    auto settings = read_config(read_toml(ROOKPROXY_ROOT "/deploy/mysql.toml")).settings;
+    settings.cold = lemonshift::ColdStart{0.3, 15'000'000, 3, 1'500'000};
+    CoreBench bench(settings);
+    bench.core.share(parts);
+    bench.list({});
+    const Time begun = bench.loop.now();
+    bench.run_until([&] { return bench.loop.now() - begun > 50ms; });
+    bench.core.learn_members({{"a", {0x7f000001, 1}, kUp, "addis-dc1", "engine-a", 0, 1, bench.loop.now()}},
+                             false);
+    bench.core.settle();
+    for (int i = 0; i < 100; ++i) {
+      auto query = std::make_shared<Query>();
+      bench.core.accept({query, 0, 1, bench.loop.now() + 3s, Duration(200ms), {}, false}, bench, 1);
+      bench.core.settle();
+      if (!bench.orders.empty()) {
+        bench.core.attempt_ended(bench.orders.back().key, {Outcome::kServed, std::nullopt, ""});
+      }
+      bench.core.settle();
+    }
+    return bench.orders.size();
+  };
+  const std::size_t alone = sent_with(1), beside_another = sent_with(2);
+  CHECK(alone > 10);
+  CHECK(beside_another > 4);
+  CHECK(beside_another <= alone / 2 + 1);
+}
