--- a/tests/dispatch/scenarios.cpp
+++ b/tests/dispatch/scenarios.cpp
@@ -868,6 +868,29 @@
     start
     upgrade
     expect log another process lives: half of every share
+    signal old STOP
+    client c0
+    send c0 ready 7
+    expect c0 ready 0
+    client c1
+    send c1 ready 7
+    expect c1 ready 0
+    client c2
+    send c2 ready 7
+    expect c2 ready 0
+    client c3
+    send c3 ready 7
+    expect c3 ready 0
+    client c4
+    send c4 ready 7
+    expect c4 ready 0
+    client c5
+    send c5 ready 7
+    expect c5 ready 0
+    client c6
+    send c6 ready 7
+    expect c6 ready 0
+    expect c0 closed
     signal old KILL
     expect old exit 137
     expect log alone)");
