--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,40 +1,35 @@
 // rookproxy-agent: keeps the dispatchers of one machine. See README.md.
 #include <csignal>
-#include <string_view>
 
 #include "agent/server.h"
-#include "app/options.h"
 #include "net/signals.h"
+#include "options/options.h"
 
 namespace {
 
-constexpr std::string_view kHelp =
-    "usage: rookproxy-agent --file AGENT.toml [--check]\n"
-    "\n"
+constexpr const char* kAbout =
     "Starts the instances that the file names, keeps them running and takes orders from rookproxyctl\n"
-    "on a Unix socket. SIGTERM drains all of them, then ends.\n"
-    "  --file F   the agent's file\n"
-    "  --check    reads the file, says what is wrong with it, and exits\n"
-    "  --help     this text\n"
-    "\n"
-    "Exit codes: 0 all drained, 1 failed while running, 2 bad usage or configuration.\n";
+    "on a Unix socket. SIGTERM drains all of them, then ends.";
+constexpr const char* kFooter =
+    "Exit codes: 0 all drained, 1 failed while running, 2 bad usage or configuration.";
 
 }  // namespace
 
 int main(int argc, char** argv) {
   using namespace rookproxy;
-  return run_program(argc, argv, "rookproxy-agent", kHelp, true, [](const ProgramOptions& options, Log& log) {
-    const AgentConfig config = load_agent_config(options.file);
-    if (options.check) return report_fine();
-    configure_log(log, config.log);
-    Loop loop;
-    Supervisor supervisor(loop, log, config);
-    const auto shut_down = [&] { supervisor.shut_down([&loop] { loop.stop(); }); };
-    Signals signals(loop, {SIGCHLD, SIGTERM, SIGINT},
-                    [&](int signal) { signal == SIGCHLD ? supervisor.reap() : shut_down(); });
-    AgentServer server(loop, log, config.socket, supervisor, shut_down);
-    supervisor.start_all();
-    loop.run();
-    return int(kExitDone);
-  });
+  return run_program(
+      argc, argv, "rookproxy-agent", kAbout, kFooter, true, [](const ProgramOptions& options, Log& log) {
+        const AgentConfig config = load_agent_config(options.file);
+        if (options.check) return report_fine();
+        configure_log(log, config.log);
+        Loop loop;
+        Supervisor supervisor(loop, log, config);
+        const auto shut_down = [&] { supervisor.shut_down([&loop] { loop.stop(); }); };
+        Signals signals(loop, {SIGCHLD, SIGTERM, SIGINT},
+                        [&](int signal) { signal == SIGCHLD ? supervisor.reap() : shut_down(); });
+        AgentServer server(loop, log, config.socket, supervisor, shut_down);
+        supervisor.start_all();
+        loop.run();
+        return int(kExitDone);
+      });
 }
--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -4,8 +4,6 @@
 #include <cerrno>
 #include <cstring>
 
-#include "app/options.h"
-
 namespace rookproxy {
 namespace {
 
--- /dev/null
+++ b/src/base/time.h
@@ -0,0 +1,12 @@
+// Points in time and spans, in chrono types throughout. Types alone: nothing here reads a clock.
+#pragma once
+
+#include <chrono>
+
+namespace rookproxy {
+
+using Duration = std::chrono::microseconds;
+// Unix time.
+using Time = std::chrono::time_point<std::chrono::system_clock, Duration>;
+
+}  // namespace rookproxy
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -7,8 +7,8 @@
 #include <set>
 #include <sstream>
 
+#include "base/numbers.h"
 #include "config/reader.h"
-#include "core/numbers.h"
 #include "wire.h"
 
 namespace rookproxy {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -40,6 +40,11 @@
   int facility = 16;  // local0
 };
 
+inline void configure_log(Log& log, const LogConfig& config) {
+  log.set_least(config.level);
+  log.to_syslog(config.syslog, config.facility);
+}
+
 struct Config {
   std::string name = "rookproxy";
   std::optional<Endpoint> listen;    // the platform's front
--- a/src/core/interfaces.h
+++ b/src/core/interfaces.h
@@ -9,7 +9,8 @@
 #include <utility>
 #include <vector>
 
-#include "core/time.h"
+#include "base/time.h"
+#include "core/module_time.h"
 #include "lemonshift/router.h"
 #include "net/fd.h"
 #include "net/slots.h"
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -2,6 +2,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <CLI/CLI.hpp>
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
@@ -21,27 +22,10 @@
 using nlohmann::json;
 using Clock = std::chrono::steady_clock;
 
-constexpr std::string_view kHelp =
-    "usage: rookproxyctl [options] status|start|drain|restart|upgrade|figures [NAME ...]\n"
-    "       rookproxyctl [options] shutdown\n"
-    "\n"
+constexpr const char* kFooter =
     "Without names, an order is for all instances.\n"
-    "  status     what each instance does; exits 5 if one of them does not run\n"
-    "  start      starts what does not run\n"
-    "  drain      lets it finish what it has, then stops it\n"
-    "  restart    drains, then starts\n"
-    "  upgrade    starts a second process beside it; once that is ready the former drains\n"
-    "  figures    what each instance counts, as its operators' address tells\n"
-    "  shutdown   drains all and ends the agent\n"
-    "\n"
-    "  --socket PATH  the agent's socket (default $ROOKPROXY_AGENT, else /run/rookproxy/agent.sock)\n"
-    "  --wait         returns once the order is carried out, not only taken\n"
-    "  --timeout S    gives up after so many seconds (default 60)\n"
-    "  --json         prints the agent's answer as it is\n"
-    "  --help         this text\n"
-    "\n"
     "Exit codes: 0 done, 1 the agent refused, 2 bad usage, 3 no agent there, 4 not in time, 5 not all run,\n"
-    "6 an upgrade failed and the former process serves on.\n";
+    "6 an upgrade failed and the former process serves on.";
 
 enum Exit {
   kDone = 0,
@@ -158,11 +142,6 @@
   return code;
 }
 
-int usage(const std::string& why) {
-  std::cerr << "rookproxyctl: " << why << "\n" << kHelp;
-  return kUsage;
-}
-
 int run(const Options& options) {
   const auto until = Clock::now() + options.timeout;
   bool late = false;
@@ -209,41 +188,39 @@
   Options options;
   const char* from_environment = std::getenv("ROOKPROXY_AGENT");
   options.socket = from_environment ? from_environment : "/run/rookproxy/agent.sock";
-  for (int i = 1; i < argc; ++i) {
-    const std::string word = argv[i];
-    if (word == "--help") {
-      std::cout << kHelp;
-      return kDone;
-    }
-    if (word == "--wait") {
-      options.wait = true;
-    } else if (word == "--json") {
-      options.as_json = true;
-    } else if (word == "--socket" || word == "--timeout") {
-      if (i + 1 == argc) return usage(word + " needs a value");
-      const std::string value = argv[++i];
-      if (word == "--socket") {
-        options.socket = value;
-      } else {
-        const int seconds = std::atoi(value.c_str());
-        if (seconds < 1 || seconds > 86400)
-          return usage("--timeout: not a number of seconds ('" + value + "')");
-        options.timeout = std::chrono::seconds(seconds);
-      }
-    } else if (word.starts_with("--")) {
-      return usage("unknown option '" + word + "'");
-    } else if (options.order.empty()) {
-      options.order = word;
-    } else {
-      options.names.push_back(word);
-    }
+  CLI::App app("Orders for a running rookproxy-agent.", "rookproxyctl");
+  app.footer(kFooter);
+  app.require_subcommand(1);
+  app.fallthrough();
+  app.add_option("--socket", options.socket,
+                 "the agent's socket (default $ROOKPROXY_AGENT, else /run/rookproxy/agent.sock)")
+      ->type_name("PATH");
+  app.add_flag("--wait", options.wait, "returns once the order is carried out, not only taken");
+  int seconds = 60;
+  app.add_option("--timeout", seconds, "gives up after so many seconds (default 60)")
+      ->type_name("S")
+      ->check(CLI::Range(1, 86400));
+  app.add_flag("--json", options.as_json, "prints the agent's answer as it is");
+  const std::pair<const char*, const char*> orders[] = {
+      {"status", "what each instance does; exits 5 if one of them does not run"},
+      {"start", "starts what does not run"},
+      {"drain", "lets it finish what it has, then stops it"},
+      {"restart", "drains, then starts"},
+      {"upgrade", "starts a second process beside it; once that is ready the former drains"},
+      {"figures", "what each instance counts, as its operators' address tells"},
+      {"shutdown", "drains all and ends the agent"}};
+  for (const auto& [name, about] : orders) {
+    auto* order = app.add_subcommand(name, about);
+    if (std::string_view(name) != "shutdown") order->add_option("NAME", options.names, "instances");
+    order->callback([&options, name = std::string(name)] { options.order = name; });
   }
-  constexpr std::string_view kOrders[] = {"status",  "start",   "drain",   "restart",
-                                          "upgrade", "figures", "shutdown"};
-  if (options.order.empty()) return usage("no order");
-  if (std::find(std::begin(kOrders), std::end(kOrders), options.order) == std::end(kOrders)) {
-    return usage("unknown order '" + options.order + "'");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& fault) {
+    if (fault.get_exit_code() == static_cast<int>(CLI::ExitCodes::Success)) return app.exit(fault);
+    std::cerr << "rookproxyctl: " << fault.what() << "\nTry --help.\n";
+    return kUsage;
   }
-  if (options.order == "shutdown" && !options.names.empty()) return usage("shutdown takes no names");
+  options.timeout = std::chrono::seconds(seconds);
   return run(options);
 }
--- /dev/null
+++ b/src/demo/main.cpp
@@ -0,0 +1,189 @@
+// rookproxy-demo: a dispatcher on an embedded default. Two stand-in engines, the real rookproxy before them,
+// one statement through its MySQL front; then it serves on.
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <stdexcept>
+
+#include "mysql/protocol.h"
+#include "standins/standins.h"
+
+namespace {
+
+using namespace rookproxy;
+using test::MysqlStandIn;
+using test::Peer;
+using namespace std::chrono_literals;
+
+// The stand-ins take this account (src/standins).
+constexpr const char* kDefault = R"(name = "demo"
+seed = "1"
+link = "mysql"
+[mysql]
+listen = "127.0.0.1:%FRONT%"
+read_class = "lookup"
+load_class = "load"
+[mysql.users]
+demo = "demo"
+[mysql_engines]
+user = "rookproxy"
+password = "engine-secret"
+[[engines]]
+id = "engine-1"
+host_port = "127.0.0.1:%ONE%"
+locality = "here"
+flavor = "stand-in"
+[[engines]]
+id = "engine-2"
+host_port = "127.0.0.1:%TWO%"
+locality = "here"
+flavor = "stand-in"
+[settings]
+fleet_size = 1
+ordinal = 0
+localities = ["here"]
+zone = "here"
+models = ["stand-in"]
+membership_mode = "automatic"
+[[settings.grades]]
+name = "lookup"
+effect = "pure"
+value = 1.0
+target = 600000
+deadline = 3000000
+[[settings.grades]]
+name = "load"
+effect = "side_effect"
+value = 6.0
+target = 4000000
+deadline = 25000000
+[settings.domain]
+cpu_of_kind = [8]
+ram_of_kind_mb = [16384.0]
+threads_by_class = [1, 2]
+is_load = [false, true]
+yields_to_loads = [true, false]
+[settings.permissions]
+cancel = true
+second_copies = true
+max_attempts = 6
+max_retry_after = 2000000
+[settings.report]
+source = "off"
+[settings.safety]
+drain_grace = 2000000
+)";
+
+std::string filled(std::string text, const std::string& mark, std::uint16_t port) {
+  return text.replace(text.find(mark), mark.size(), std::to_string(port));
+}
+
+class Child {
+ public:
+  Child(const std::string& program, const std::string& file) : pid_(::fork()) {
+    if (pid_ != 0) return;
+    ::execl(program.c_str(), program.c_str(), "--file", file.c_str(), nullptr);
+    ::_exit(127);
+  }
+  ~Child() {
+    if (pid_ <= 0) return;
+    ::kill(pid_, SIGTERM);
+    ::waitpid(pid_, nullptr, 0);
+  }
+  bool runs() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
+  int wait() {
+    int status = 0;
+    ::waitpid(std::exchange(pid_, 0), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 1;
+  }
+  pid_t pid() const { return pid_; }
+
+ private:
+  pid_t pid_;
+};
+
+mysql::Message next(Peer& peer) {
+  auto message = test::take_mysql(peer);
+  if (!message) throw std::runtime_error("the dispatcher closed the connection");
+  if (message->payload.starts_with('\xff')) {
+    throw std::runtime_error("the dispatcher answered: " + mysql::read_error(message->payload).text);
+  }
+  return *message;
+}
+
+// Logs in and runs the statement; the rows as text.
+std::string ask(Peer& peer, const std::string& statement) {
+  const auto greeting = mysql::read_greeting(next(peer).payload);
+  mysql::Login login;
+  login.user = "demo";
+  login.capabilities = mysql::kCapabilities;
+  login.plugin = greeting.plugin;
+  login.proof = *mysql::proof_for(greeting.plugin, "demo", greeting.nonce);
+  std::uint8_t sequence = 1;
+  peer.send(mysql::packets(mysql::login_payload(login), sequence));
+  while (next(peer).payload[0] != '\0') continue;
+  sequence = 0;
+  peer.send(mysql::packets(static_cast<char>(mysql::kQuery) + statement, sequence));
+  mysql::ResponseTracker tracker;
+  std::string response;
+  for (std::uint8_t number = 1;;) {
+    const auto message = next(peer);
+    response += mysql::packets(message.payload, number);
+    if (tracker.take(message.payload)) return mysql::rows_as_text(response);
+  }
+}
+
+std::uint16_t free_port() { return local_port(test::listen_anywhere()); }
+
+volatile sig_atomic_t child_pid = 0;
+void pass_on(int) {
+  if (child_pid > 0) ::kill(static_cast<pid_t>(child_pid), SIGTERM);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("A dispatcher before two stand-in engines, on an embedded default.", "rookproxy-demo");
+  bool once = false;
+  std::string statement = "SELECT name FROM marks_17.pupils LIMIT rows_3";
+  app.add_flag("--once", once, "ends after the answer, and does not serve on");
+  app.add_option("--query", statement, "what it asks; the stand-ins answer N rows to rows_N");
+  CLI11_PARSE(app, argc, argv);
+  const std::string folder = test::new_folder();
+  try {
+    if (folder.empty()) throw std::runtime_error("no folder for its file");
+    MysqlStandIn one, two;
+    const std::uint16_t front = free_port();
+    const std::string file = folder + "/demo.toml";
+    std::ofstream(file) << filled(filled(filled(kDefault, "%FRONT%", front), "%ONE%", one.port()), "%TWO%",
+                                  two.port());
+    const auto program = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "rookproxy";
+    Child dispatcher(program.string(), file);
+    child_pid = dispatcher.pid();
+    ::signal(SIGINT, pass_on);
+    ::signal(SIGTERM, pass_on);
+    Peer peer = Peer::connect(front);
+    for (int tries = 0; !peer.has(4, 200ms); ++tries) {  // a refused connection ends at once
+      if (tries == 50 || !dispatcher.runs()) throw std::runtime_error("the dispatcher does not come up");
+      std::this_thread::sleep_for(100ms);
+      peer = Peer::connect(front);
+    }
+    std::cout << statement << "\n" << ask(peer, statement) << std::flush;
+    if (!once) {
+      std::cout << "serving on 127.0.0.1:" << front << ", user demo, password demo; Ctrl-C ends it"
+                << std::endl;
+      dispatcher.wait();
+    }
+  } catch (const std::exception& fault) {
+    std::cerr << "rookproxy-demo: " << fault.what() << "\n";
+    std::filesystem::remove_all(folder);
+    return 1;
+  }
+  std::filesystem::remove_all(folder);
+  return 0;
+}
--- a/src/directory/dns.cpp
+++ b/src/directory/dns.cpp
@@ -4,7 +4,7 @@
 #include <cctype>
 #include <map>
 
-#include "core/numbers.h"
+#include "base/numbers.h"
 
 namespace rookproxy {
 namespace {
--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <set>
 
-#include "core/numbers.h"
+#include "base/numbers.h"
 #include "sql/lexer.h"
 
 namespace rookproxy {
--- a/src/front/mysql.cpp
+++ b/src/front/mysql.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "sql/lexer.h"
+#include "sql/session.h"
 
 namespace rookproxy {
 namespace {
@@ -22,27 +23,6 @@
          charset == 65 || charset == 76 || (charset >= 192 && charset <= 247) || charset == 255;
 }
 
-bool is_mark(const sql::Token& token, char mark) {
-  return token.kind == sql::Token::Kind::kMark && token.text[0] == mark;
-}
-
-// 'SET NAMES utf8mb4' and 'SET autocommit = 1', which most client libraries send at the start, ask for what
-// holds anyway. They are the only ones that are answered here.
-bool asks_for_what_holds(const std::string& statement) {
-  auto list = sql::tokens(statement);
-  if (!list.empty() && is_mark(list.back(), ';')) list.pop_back();
-  if (list.size() < 3 || !sql::is_word(list[0], "SET")) return false;
-  if (sql::is_word(list[1], "NAMES") && list.size() == 3) {
-    return sql::is_word(list[2], "UTF8MB4") || sql::is_word(list[2], "UTF8");
-  }
-  std::size_t at = 1;
-  if (sql::is_word(list[at], "SESSION")) ++at;
-  const bool autocommit = sql::is_word(list[at], "AUTOCOMMIT") || list[at].text == "@@autocommit" ||
-                          list[at].text == "@@session.autocommit";
-  return autocommit && list.size() == at + 3 && is_mark(list[at + 1], '=') &&
-         (list[at + 2].text == "1" || sql::is_word(list[at + 2], "ON"));
-}
-
 // Numbers the packets of an answer from `sequence` on, where they are not already.
 void renumber(std::string& packets, std::uint8_t sequence) {
   for (std::size_t at = 0; at + mysql::kHeaderSize <= packets.size();) {
@@ -156,7 +136,7 @@
     if (stream_.queued() > kMostQueued)
       front_.loop_.defer([&front = front_, key = key_] { front.drop(key); });
   }
-  void ok() { reply(mysql::ok_payload()); }
+  void ok() { reply(mysql::ok_payload(0, 0, autocommit_ ? mysql::kAutocommit : 0)); }
   void error(std::uint16_t code, const std::string& text) { reply(mysql::error_payload(code, text)); }
   void fatal(std::uint16_t code, const std::string& text) {
     front_.log_.line(Level::kNotice, "mysql", text, {{"user", login_.user}});
@@ -181,7 +161,7 @@
   void log_in(std::string_view payload) {
     login_ = mysql::read_login(payload);
     if ((login_.capabilities & mysql::kSsl) != 0)
-      return fatal(mysql::kNotSupportedYet, "TLS is not offered here");
+      return fatal(mysql::kBadHandshake, "Bad handshake: TLS is not offered here");
     if (!passes_as_utf8(login_.charset)) {
       return fatal(mysql::kUnknownCharset,
                    "Unknown character set here: only UTF-8, ASCII and binary are served");
@@ -248,6 +228,7 @@
         return not_supported("cursors");
       case mysql::kResetConnection:
         statements_.clear();
+        autocommit_ = true;
         return ok();
       default:
         return error(mysql::kUnknownCommand, "Unknown command");
@@ -264,9 +245,35 @@
     return state.has_value();
   }
 
+  // With autocommit off a server would open a transaction here, to be ended by a COMMIT that could reach
+  // another engine.
+  bool needs_transaction(const std::string& statement) {
+    if (autocommit_ || sql::only_reads(statement) || sql::commits_itself(statement)) return false;
+    error(mysql::kNotSupportedYet,
+          "rookproxy doesn't support transactions, and autocommit is off: SET autocommit = 1 to run this "
+          "statement");
+    return true;
+  }
+
+  // What is answered here, since it says something of the session alone.
+  bool answered_here(const std::string& statement) {
+    switch (sql::session_ask(statement)) {
+      case sql::SessionAsk::kNone:
+        return false;
+      case sql::SessionAsk::kAutocommitOn:
+      case sql::SessionAsk::kAutocommitOff:
+        autocommit_ = sql::session_ask(statement) == sql::SessionAsk::kAutocommitOn;
+        break;
+      case sql::SessionAsk::kHolds:
+      case sql::SessionAsk::kEndTransaction:
+        break;
+    }
+    ok();
+    return true;
+  }
+
   void query(std::string statement) {
-    if (asks_for_what_holds(statement)) return ok();
-    if (refused_here(statement)) return;
+    if (answered_here(statement) || refused_here(statement) || needs_transaction(statement)) return;
     ask(Query::Kind::kStatement, std::move(statement));
   }
 
@@ -308,7 +315,7 @@
   // since this one may run on an engine that never saw that.
   void execute(PayloadReader& reader) {
     Statement* statement = known(static_cast<std::uint32_t>(reader.number(4)));
-    if (!statement) return;
+    if (!statement || needs_transaction(statement->text)) return;
     if (statement->long_bytes > kMostLongData) {
       return error(mysql::kPacketTooLarge, "Got a packet bigger than 'max_allowed_packet' bytes");
     }
@@ -378,6 +385,7 @@
       packets.replace(mysql::kHeaderSize + 1, 4, bytes);
       statements_[id] = std::move(pending_statement_);
     }
+    if (!autocommit_ && pending_ != Query::Kind::kPrepare) mysql::clear_autocommit(packets);
     renumber(packets, sequence_);
     stream_.write(std::move(packets));
     if (stream_.queued() > kMostQueued)
@@ -391,6 +399,7 @@
   std::uint8_t sequence_ = 0;
   mysql::Login login_;
   std::string schema_;
+  bool autocommit_ = true;  // as the client asked for; every engine's session has it on
   std::map<std::uint32_t, Statement> statements_;
   std::uint32_t next_statement_ = 1;
   std::optional<RequestKey> request_;
--- a/src/link/lines.cpp
+++ b/src/link/lines.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "core/numbers.h"
+#include "base/numbers.h"
 
 namespace rookproxy {
 namespace {
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -7,6 +7,8 @@
 #include <ctime>
 #include <ostream>
 
+#include "net/clock.h"
+
 namespace rookproxy {
 namespace {
 
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <utility>
 
-#include "core/time.h"
+#include "base/time.h"
 #include "net/fd.h"
 
 namespace rookproxy {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,47 +2,43 @@
 #include <unistd.h>
 
 #include <csignal>
-#include <string_view>
 
 #include "app/app.h"
-#include "app/options.h"
 #include "net/signals.h"
+#include "options/options.h"
 
 namespace {
 
-constexpr std::string_view kHelp =
-    "usage: rookproxy [--file OPERATORS.toml] [--check]\n"
-    "\n"
-    "Runs one dispatcher in the foreground until SIGTERM. SIGHUP makes it read its configuration again.\n"
-    "  --file F   an operator's file; its keys win over those of $NODE_CONFIG\n"
-    "  --check    reads the configuration, says what is wrong with it, and exits\n"
-    "  --help     this text\n"
-    "\n"
+constexpr const char* kAbout =
+    "Runs one dispatcher in the foreground until SIGTERM. SIGHUP makes it read its configuration again.";
+constexpr const char* kFooter =
     "$NODE_CONFIG is the path of the platform's JSON configuration, $NODE_OPS the address for operators,\n"
     "$NODE_PASSED_SOCKET an inherited socket that listens for clients, $TMPDIR a folder that the processes "
     "of\n"
     "one dispatcher share during an upgrade.\n"
-    "Exit codes: 0 stopped after a drain, 1 failed while running, 2 bad usage or configuration.\n";
+    "Exit codes: 0 stopped after a drain, 1 failed while running, 2 bad usage or configuration.";
 
 }  // namespace
 
 int main(int argc, char** argv) {
   using namespace rookproxy;
-  return run_program(argc, argv, "rookproxy", kHelp, false, [](const ProgramOptions& options, Log& log) {
-    const Config config = load_config(read_environment(), options.file);
-    if (options.check) return report_fine();
-    log.set_host(config.name);
-    configure_log(log, config.log);
-    Loop loop;
-    App app(loop, log, config);
-    Signals signals(loop, {SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
-      if (signal != SIGHUP) return app.drain();
-      app.reload(
-          [&](const Config& running) { return load_config(read_environment(), options.file, running); });
-    });
-    loop.run();
-    // Connections still open are closed by the kernel; taking the tables down one by one would serve nobody.
-    std::cerr.flush();
-    ::_exit(kExitDone);
-  });
+  return run_program(
+      argc, argv, "rookproxy", kAbout, kFooter, false, [](const ProgramOptions& options, Log& log) {
+        const Config config = load_config(read_environment(), options.file);
+        if (options.check) return report_fine();
+        log.set_host(config.name);
+        configure_log(log, config.log);
+        Loop loop;
+        App app(loop, log, config);
+        Signals signals(loop, {SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
+          if (signal != SIGHUP) return app.drain();
+          app.reload(
+              [&](const Config& running) { return load_config(read_environment(), options.file, running); });
+        });
+        loop.run();
+        // Connections still open are closed by the kernel; taking the tables down one by one would serve
+        // nobody.
+        std::cerr.flush();
+        ::_exit(kExitDone);
+      });
 }
--- a/src/mysql/protocol.cpp
+++ b/src/mysql/protocol.cpp
@@ -41,6 +41,7 @@
     case kServerShutdown:
     case kPacketTooLarge:
     case kPacketsOutOfOrder:
+    case kBadHandshake:
       return "08S01";
     case kEmptyQuery:
     case kUnknownCharset:
@@ -145,11 +146,11 @@
   return message;
 }
 
-std::string ok_payload(std::uint64_t affected, std::uint64_t insert_id) {
+std::string ok_payload(std::uint64_t affected, std::uint64_t insert_id, std::uint16_t status) {
   std::string out(1, '\0');
   put_lenenc(out, affected);
   put_lenenc(out, insert_id);
-  put_number(out, kAutocommit, 2);
+  put_number(out, status, 2);
   put_number(out, 0, 2);
   return out;
 }
@@ -369,6 +370,26 @@
   return false;
 }
 
+void clear_autocommit(std::string& packets) {
+  for (std::size_t at = 0; at + kHeaderSize < packets.size();) {
+    const std::string_view rest = std::string_view(packets).substr(at);
+    const std::size_t size = PayloadReader(rest.substr(0, 3)).number(3);
+    PayloadReader payload(rest.substr(kHeaderSize, size));
+    // The first packet of an answer without rows is an OK; among rows only an EOF is that short.
+    std::size_t status = 0;
+    const auto first = payload.number(1);
+    if (at == 0 && first == 0) {
+      payload.lenenc();
+      payload.lenenc();
+      status = size - payload.left();
+    } else if (first == 0xfe && size == 5) {
+      status = 3;
+    }
+    if (status != 0 && status < size) packets[at + kHeaderSize + status] &= ~static_cast<char>(kAutocommit);
+    at += kHeaderSize + size;
+  }
+}
+
 std::string rows_as_text(std::string_view response) {
   std::string out;
   std::uint64_t columns = 0;
--- a/src/mysql/protocol.h
+++ b/src/mysql/protocol.h
@@ -45,6 +45,7 @@
 // Errors of the server's own list, by their numbers there.
 enum Error : std::uint16_t {
   kTooManyConnections = 1040,
+  kBadHandshake = 1043,
   kAccessDenied = 1045,
   kUnknownCommand = 1047,
   kServerShutdown = 1053,
@@ -107,7 +108,8 @@
 };
 Message take_message(std::string_view bytes, std::size_t most);
 
-std::string ok_payload(std::uint64_t affected = 0, std::uint64_t insert_id = 0);
+std::string ok_payload(std::uint64_t affected = 0, std::uint64_t insert_id = 0,
+                       std::uint16_t status = kAutocommit);
 std::string error_payload(std::uint16_t code, std::string_view text);
 struct ErrorInfo {
   std::uint16_t code = 0;
@@ -166,6 +168,9 @@
   bool continued_ = false, failed_ = false, done_ = false;
 };
 
+// Takes the word 'autocommit is on' out of every status in a whole answer to a statement (not to a prepare).
+void clear_autocommit(std::string& packets);
+
 // A whole text result as lines of columns parted by tabs; an OK packet is an empty result. NULL reads '\N'.
 std::string rows_as_text(std::string_view response);
 
--- /dev/null
+++ b/src/net/clock.h
@@ -0,0 +1,17 @@
+// The project's clock: Unix time that only moves forward.
+#pragma once
+
+#include "base/time.h"
+
+namespace rookproxy {
+
+// The steady clock, shifted once at the start to read as Unix time: a step of the system's clock must not
+// fire every deadline at once or hold them all back, and the module's clock may never go backward.
+inline Time wall_now() {
+  using std::chrono::duration_cast;
+  static const auto shift = duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()) -
+                            duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch());
+  return Time(duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()) + shift);
+}
+
+}  // namespace rookproxy
--- a/src/net/fd.cpp
+++ b/src/net/fd.cpp
@@ -10,7 +10,7 @@
 #include <cerrno>
 #include <cstring>
 
-#include "core/numbers.h"
+#include "base/numbers.h"
 
 namespace rookproxy {
 namespace {
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -6,6 +6,8 @@
 #include <cerrno>
 #include <system_error>
 
+#include "net/clock.h"
+
 namespace rookproxy {
 
 Loop::Loop() : epoll_(::epoll_create1(EPOLL_CLOEXEC)), now_(wall_now()) {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "core/time.h"
+#include "base/time.h"
 #include "net/fd.h"
 #include "net/slots.h"
 
--- a/src/sql/lexer.cpp
+++ b/src/sql/lexer.cpp
@@ -4,7 +4,7 @@
 #include <array>
 #include <cctype>
 
-#include "core/numbers.h"
+#include "base/numbers.h"
 
 namespace rookproxy::sql {
 namespace {
@@ -49,6 +49,8 @@
   return parse_number<std::uint64_t>(schema.substr(underscore + 1));
 }
 
+constexpr std::size_t kShortString = 66;  // with its quotes; nobody looks into longer ones
+
 constexpr std::array<std::string_view, 7> kBeforeTables{"FROM",  "JOIN",   "INTO",   "UPDATE",
                                                         "TABLE", "DELETE", "REPLACE"};
 constexpr std::array<std::string_view, 12> kAfterTables{
@@ -80,8 +82,11 @@
     } else if (c == '*' && next == '/') {
       i += 2;  // of a '/*!' comment, whose body was read
     } else if (c == '\'' || c == '"') {
-      i = quoted_end(s, i, nullptr);
-      out.push_back({Token::Kind::kString, ""});
+      Token string{Token::Kind::kString, ""};
+      const std::size_t end = quoted_end(s, i, nullptr);
+      if (end - i <= kShortString) quoted_end(s, i, &string.text);
+      i = end;
+      out.push_back(std::move(string));
     } else if (c == '`') {
       Token name{Token::Kind::kQuotedName, ""};
       i = quoted_end(s, i, &name.text);
--- a/src/sql/lexer.h
+++ b/src/sql/lexer.h
@@ -12,7 +12,8 @@
 struct Token {
   enum class Kind { kWord, kQuotedName, kNumber, kString, kVariable, kMark };
   Kind kind = Kind::kMark;
-  std::string text;  // a word, a name without its quotes, or one character of punctuation
+  std::string
+      text;  // a word, a name without its quotes, a short string likewise, or one character of punctuation
 };
 
 // Comments are left out, except the bodies of '/*!' ones, which MySQL runs. Unclosed strings run to the end.
--- a/tests/dispatch/standins.cpp
+++ b/src/standins/standins.cpp
@@ -1,4 +1,4 @@
-#include "standins.h"
+#include "standins/standins.h"
 
 #include <poll.h>
 #include <sys/socket.h>
--- a/tests/dispatch/parsers.cpp
+++ b/tests/dispatch/parsers.cpp
@@ -7,7 +7,8 @@
 #include "link/lines.h"
 #include "mysql/protocol.h"
 #include "sql/lexer.h"
-#include "standins.h"
+#include "sql/session.h"
+#include "standins/standins.h"
 
 using namespace rookproxy;
 
@@ -303,6 +304,54 @@
   }
 }
 
+TEST_CASE("sql: what a session asks for is told apart from what it would change") {
+  using sql::SessionAsk;
+  const std::vector<std::pair<const char*, SessionAsk>> cases{
+      {"SET AUTOCOMMIT = 0", SessionAsk::kAutocommitOff},
+      {"set session autocommit=ON;", SessionAsk::kAutocommitOn},
+      {"SET @@autocommit := false", SessionAsk::kAutocommitOff},
+      {"SET GLOBAL autocommit = 0", SessionAsk::kNone},
+      {"SET autocommit = 2", SessionAsk::kNone},
+      {"SET autocommit = 0, sql_mode = ''", SessionAsk::kNone},
+      {"SET NAMES utf8mb4", SessionAsk::kHolds},
+      {"SET NAMES 'utf8'", SessionAsk::kHolds},
+      {"SET NAMES latin1", SessionAsk::kNone},
+      {"SET NAMES utf8mb4 COLLATE utf8mb4_bin", SessionAsk::kNone},
+      {"SET character_set_results = NULL", SessionAsk::kHolds},
+      {"COMMIT", SessionAsk::kEndTransaction},
+      {"rollback work;", SessionAsk::kEndTransaction},
+      {"COMMIT AND NO CHAIN NO RELEASE", SessionAsk::kEndTransaction},
+      {"COMMIT AND CHAIN", SessionAsk::kNone},
+      {"COMMIT RELEASE", SessionAsk::kNone},
+      {"ROLLBACK TO SAVEPOINT a", SessionAsk::kNone},
+      {"SET", SessionAsk::kNone},
+      {"SET NAMES", SessionAsk::kNone},
+      {"", SessionAsk::kNone}};
+  for (const auto& [statement, ask] : cases) {
+    INFO(statement);
+    CHECK(sql::session_ask(statement) == ask);
+  }
+}
+
+TEST_CASE("mysql: 'autocommit is on' is taken out of every status, and nothing else changes") {
+  std::uint8_t sequence = 1;
+  std::string ok = mysql::packets(mysql::ok_payload(300, 70000), sequence);
+  const std::string off = ok;
+  mysql::clear_autocommit(ok);
+  sequence = 1;
+  CHECK(ok == mysql::packets(mysql::ok_payload(300, 70000, 0), sequence));
+  sequence = 1;
+  std::string rows = mysql::packets("\1", sequence) + mysql::packets("column", sequence);
+  const std::string end(mysql::packets(std::string("\xfe\0\0\2\0", 5), sequence));
+  // A row may begin with 0xfe or 0 and hold the same bit.
+  const std::string row = mysql::packets(std::string("\0\xff\2\2\2", 5), sequence);
+  std::string whole = rows + end + row + end;
+  mysql::clear_autocommit(whole);
+  std::string cleared = end;
+  cleared[cleared.size() - 2] = '\0';
+  CHECK(whole == rows + cleared + row + cleared);
+}
+
 TEST_CASE("sql: session state is seen for what it is") {
   using sql::session_state;
   for (const char* state : {"begin", "START TRANSACTION", "SET autocommit=0", "LOCK TABLES t READ",
--- a/tests/dispatch/parts.cpp
+++ b/tests/dispatch/parts.cpp
@@ -12,7 +12,7 @@
 #include "core/rules.h"
 #include "log/log.h"
 #include "net/stream.h"
-#include "standins.h"
+#include "standins/standins.h"
 
 using namespace rookproxy;
 using namespace std::chrono_literals;
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -16,7 +16,7 @@
 
 #include "front/frames.h"
 #include "link/lines.h"
-#include "standins.h"
+#include "standins/standins.h"
 
 namespace rookproxy::test {
 namespace {
--- a/tests/dispatch/scenarios.cpp
+++ b/tests/dispatch/scenarios.cpp
@@ -569,6 +569,41 @@
     expect executed 0 T)");
 }
 
+TEST_CASE("mysql: autocommit is remembered, and only what needs a transaction is turned down") {
+  // Client libraries switch it off as they open: their log-in must succeed, reads go on, and what they then
+  // ask for is a true answer at the statement that can't have it.
+  play(R"(
+    mysql-engines a b
+    start
+    mysql m
+    send m query SET AUTOCOMMIT = 0
+    expect m ok
+    send m query SET NAMES 'utf8mb4'
+    expect m ok
+    send m query SELECT rows_2 FROM school_4.marks
+    expect m rows 2
+    send m query INSERT INTO school_4.marks VALUES (1)
+    expect m error 1235 autocommit is off
+    send m query COMMIT
+    expect m ok
+    send m query ROLLBACK AND CHAIN
+    expect m error 1235 transactions
+    send m prepare UPDATE school_4.marks SET a = ?
+    expect m prepared
+    send m execute 1 5
+    expect m error 1235 autocommit is off
+    send m query CREATE TABLE school_4.fresh (a INT)
+    expect m ok
+    expect executed 0 INSERT
+    send m query SET @@session.autocommit = ON
+    expect m ok
+    send m query INSERT INTO school_4.marks VALUES (1)
+    expect m ok
+    expect executed 1 INSERT
+    send m query SET SESSION sql_mode = 'ANSI_QUOTES'
+    expect m error 1235 variables)");
+}
+
 TEST_CASE("mysql: a load is run once, whatever goes wrong") {
   // 'full' never ran and may go on; 'cut' ran and must not.
   play(R"(
