Callers by signed token on the frames front: tenants, roles, and what a statement may touch

Nobody was told apart on the frames front: any client could read any school's marks and send loads. [access] in an operator's file now names tenants, roles and a set of keys. A request carries a JWT in a field, which goes no further than the front. decide/token judges header, claims and keys; decide/access judges caller, class and statement; sql/tables makes out what a statement touches and says 'unknown' to all it does not know, which is denied. decide/token_cache holds checked tokens in bounded room and forgets them with their key, their end or a revocation; decide/check_queue keeps signature checks within a budget of processor time, proven sources first. Keys, revocations and rights are replaced at a file's change or SIGHUP, whole or not at all.

--- /dev/null
+++ b/src/access/sign.h
@@ -0,0 +1,24 @@
+// The other side, for operators and tests: making keys, sets of them, and tokens. No dispatcher signs
+// anything.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "access/keys.h"
+
+namespace rookproxy::access {
+
+Pkey new_key(decide::Algorithm algorithm);
+// PKCS #8 in PEM. Reading throws KeyError.
+std::string private_pem(evp_pkey_st* key);
+Pkey read_private_pem(const std::string& pem);
+decide::Algorithm algorithm_of(evp_pkey_st* key);
+// The public part as a JWK with `kid`, `alg` and `use`.
+nlohmann::json public_jwk(evp_pkey_st* key, const std::string& id);
+std::string sign(evp_pkey_st* key, decide::Algorithm algorithm, std::string_view text);
+// A whole token. `header` gets `alg` and `kid` where it has none.
+std::string mint(evp_pkey_st* key, const std::string& id, const nlohmann::json& claims,
+                 nlohmann::json header = nlohmann::json::object());
+
+}  // namespace rookproxy::access
--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -96,12 +96,17 @@
     links_ = std::make_unique<LinesPool>(loop, log, core_, figures_, limits);
   }
   core_.use(*links_);
+  if (config.access) {
+    watch_ = watch_files(config);  // before they are read, so that no change falls in between
+    gate_ = std::make_unique<access::Gatekeeper>(loop, log, figures_.access, *config.access, config.seed);
+  }
   core_.learn_members(config.known, true);
   core_.settle();
   find_engines(config);
   if (config.listen) {
-    frames_ = std::make_unique<FramesFront>(
-        loop, log, core_, clients_listener(*config.listen, config.passed_socket, ""), FramesFront::Limits());
+    frames_ = std::make_unique<FramesFront>(loop, log, core_,
+                                            clients_listener(*config.listen, config.passed_socket, ""),
+                                            FramesFront::Limits(), gate_.get());
     log.line(Level::kNotice, "start", "serving frames",
              {{"port", std::to_string(frames_->port())}, {"engines", std::to_string(config.known.size())}});
   }
@@ -167,6 +172,20 @@
   links_->change(limits);
 }
 
+// What its files say is taken as they change, without a signal: a credential that was taken back must not
+// wait for one.
+std::unique_ptr<FileWatch> App::watch_files(const Config& config) {
+  return std::make_unique<FileWatch>(loop_, config.access->files(), config.access_poll, [this] {
+    try {
+      gate_->take(*config_.access);
+      ++figures_.loads;
+    } catch (const std::exception& fault) {
+      ++figures_.load_errors;
+      log_.line(Level::kError, "access", std::string("the former keys stay: ") + fault.what(), {});
+    }
+  });
+}
+
 void App::find_engines(const Config& config) {
   if (!config.nameserver) {
     directory_.reset();
@@ -189,13 +208,22 @@
   }
 }
 
-// Everything was read and checked before; from here on nothing can be turned down.
+// Everything was read and checked before; but for the files of [access] nothing can be turned down here.
 void App::take_over(Config fresh) {
   // The process keeps what it was started with; so do its shares.
   fresh.listen = config_.listen;
   fresh.ops = config_.ops;
   fresh.passed_socket = config_.passed_socket;
   fresh.link = config_.link;
+  // Whether callers are identified is not changed in service: it would let in or shut out everybody at once.
+  if (fresh.access.has_value() != config_.access.has_value())
+    throw ConfigError("access",
+                      fresh.access ? "needs a restart to begin" : "missing, and it was there before");
+  if (gate_) {
+    auto watch = watch_files(fresh);
+    gate_->take(*fresh.access);  // the last that may be turned down
+    watch_ = std::move(watch);
+  }
   if (!mysql_) fresh.mysql.reset();
   if (mysql_) fresh.mysql->passed_socket = config_.mysql->passed_socket;
   fresh.sockets = config_.sockets;
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "access/gatekeeper.h"
 #include "app/siblings.h"
 #include "config/config.h"
 #include "core/dispatcher.h"
@@ -11,6 +12,7 @@
 #include "front/mysql.h"
 #include "link/lines.h"
 #include "link/mysql.h"
+#include "net/file_watch.h"
 #include "ops/ops.h"
 
 namespace rookproxy {
@@ -31,6 +33,7 @@
   const Figures& figures() const override { return figures_; }
   Gauges gauges() const override { return core_.gauges(); }
   void take_over(Config config);
+  std::unique_ptr<FileWatch> watch_files(const Config& config);
   void find_engines(const Config& config);
   void stop_when_idle();
   void become_ready(Time at_the_latest);
@@ -42,6 +45,8 @@
   Config config_;  // as last taken over
   Figures figures_;
   Dispatcher core_;
+  std::unique_ptr<access::Gatekeeper> gate_;  // where callers are identified
+  std::unique_ptr<FileWatch> watch_;
   std::unique_ptr<Pool> links_;
   std::unique_ptr<DnsDirectory> directory_;
   std::unique_ptr<FramesFront> frames_;
--- /dev/null
+++ b/src/config/access_config.cpp
@@ -0,0 +1,93 @@
+#include <set>
+
+#include "base/numbers.h"
+#include "config/reader.h"
+
+namespace rookproxy {
+namespace {
+
+std::vector<std::string> texts(const nlohmann::json& list) { return list.get<std::vector<std::string>>(); }
+
+decide::GroupRange group_range(const std::string& text, const std::string& path) {
+  const auto dash = text.find('-');
+  const auto first = parse_number<std::uint64_t>(std::string_view(text).substr(0, dash));
+  const auto last =
+      dash == text.npos ? first : parse_number<std::uint64_t>(std::string_view(text).substr(dash + 1));
+  if (!first || !last || *first > *last) throw ConfigError(path, "no range like 1-40 ('" + text + "')");
+  return {*first, *last};
+}
+
+}  // namespace
+
+// The schema has seen to types and bounds; what is checked here is how the parts hang together.
+access::AccessSettings read_access(const nlohmann::json& section, const lemonshift::Settings& settings) {
+  check_schema(section, "access");
+  const Reader reader(section, "access");
+  access::AccessSettings access;
+  access.keys_file = reader.text_or("keys", "");
+  access.revoked_file = reader.text_or("revoked", "");
+  if (reader.has("issuers")) access.rules.issuers = texts(reader.need("issuers"));
+  access.rules.audience = reader.text_or("audience", "");
+  if (!access.keys_file.empty()) {
+    reader.need("issuers");
+    reader.need("audience");
+  } else if (!reader.has("users") && !reader.has("certificates")) {
+    throw ConfigError("access.keys",
+                      "missing, and neither users nor certificates are named: nobody could call");
+  }
+  access.rules.leeway = reader.milliseconds_or("leeway_ms", std::chrono::seconds(5), 0);
+  if (reader.has("longest_life_ms"))
+    access.rules.longest_life = std::chrono::milliseconds(reader.need("longest_life_ms").get<std::int64_t>());
+  access.token_field = reader.text_or("token_field", access.token_field);
+  access.claims.tenant = reader.text_or("tenant_claim", access.claims.tenant);
+  access.claims.roles = reader.text_or("roles_claim", access.claims.roles);
+  access.cache.entries = static_cast<std::size_t>(reader.whole_or("cache_entries", 10'000, 0, 1'000'000));
+  if (reader.has("check_share")) access.checks.share = reader.number("check_share", 0.01, 0.9);
+
+  std::size_t number = 0;
+  for (const auto& one : reader.need("roles")) {
+    const std::string path = "access.roles." + std::to_string(number++);
+    decide::Role role{one.at("name"), texts(one.at("classes")), one.value("writes", false)};
+    if (access.policy.role(role.name)) throw ConfigError(path + ".name", "there twice ('" + role.name + "')");
+    for (const auto& name : role.classes) {
+      const bool known = name == "*" || std::any_of(settings.classes.begin(), settings.classes.end(),
+                                                    [&](const auto& cls) { return cls.name == name; });
+      if (!known) throw ConfigError(path + ".classes", "no class '" + name + "' in settings.grades");
+    }
+    access.policy.roles.push_back(std::move(role));
+  }
+  number = 0;
+  for (const auto& one : reader.need("tenants")) {
+    const std::string path = "access.tenants." + std::to_string(number++);
+    decide::Tenant tenant{one.at("name"), texts(one.at("schemas")), {}};
+    if (access.policy.tenant(tenant.name))
+      throw ConfigError(path + ".name", "there twice ('" + tenant.name + "')");
+    for (const auto& range : one.value("groups", nlohmann::json::array()))
+      tenant.groups.push_back(group_range(range.get<std::string>(), path + ".groups"));
+    access.policy.tenants.push_back(std::move(tenant));
+  }
+  const auto standings = [&](const char* key) {
+    std::map<std::string, access::Standing> list;
+    if (!reader.has(key)) return list;
+    std::size_t at = 0;
+    for (const auto& one : reader.need(key)) {
+      const std::string path = std::string("access.") + key + "." + std::to_string(at++);
+      access::Standing standing{one.at("tenant"), texts(one.at("roles"))};
+      if (!access.policy.tenant(standing.tenant))
+        throw ConfigError(path + ".tenant", "no tenant '" + standing.tenant + "' in access.tenants");
+      for (const auto& role : standing.roles) {
+        if (!access.policy.role(role))
+          throw ConfigError(path + ".roles", "no role '" + role + "' in access.roles");
+      }
+      const std::string name = one.at("name");
+      if (!list.emplace(name, std::move(standing)).second)
+        throw ConfigError(path + ".name", "there twice ('" + name + "')");
+    }
+    return list;
+  };
+  access.users = standings("users");
+  access.certificates = standings("certificates");
+  return access;
+}
+
+}  // namespace rookproxy
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -2,6 +2,7 @@
 
 #include <toml++/toml.h>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -274,6 +275,17 @@
       throw ConfigError("link", "the MySQL front needs engines that speak MySQL");
     read_mysql(reader.table("mysql"), config);
   }
+  if (reader.has("access")) {
+    config.access = read_access(reader.need("access"), config.settings);
+    config.access_poll = reader.table("access").milliseconds_or("poll_ms", config.access_poll, 20);
+    // Passwords stay for whoever sets them up, and each of those has to be somebody.
+    if (config.mysql) {
+      for (const auto& [name, password] : config.mysql->users) {
+        if (!config.access->users.contains(name))
+          throw ConfigError("access.users", "says nothing of '" + name + "', who is in mysql.users");
+      }
+    }
+  }
   if (reader.has("log")) config.log = read_log_config(reader.table("log"));
   if (!config.listen && !config.mysql) throw ConfigError("listen", "missing, and there is no other front");
   if (config.known.empty() && !config.nameserver)
@@ -289,6 +301,21 @@
   return {read("NODE_CONFIG"), read("NODE_OPS"), read("NODE_PASSED_SOCKET"), read("TMPDIR")};
 }
 
+// Files that an operator's file names without a folder's root lie beside it.
+void name_files_from(json& document, const std::string& operators) {
+  const auto folder = std::filesystem::path(operators).parent_path();
+  for (const auto& [section, keys] :
+       std::map<std::string, std::vector<std::string>>{{"access", {"keys", "revoked"}}}) {
+    if (!document.contains(section) || !document[section].is_object()) continue;
+    for (const auto& key : keys) {
+      json& at = document[section];
+      if (!at.contains(key) || !at[key].is_string()) continue;
+      const std::string name = at[key].get<std::string>();
+      if (!name.empty()) at[key] = (folder / name).string();
+    }
+  }
+}
+
 Config load_config(const Environment& environment, const std::string& operators) {
   const std::string& platform = environment.config;
   json document = json::object();
@@ -299,7 +326,11 @@
       throw ConfigError(platform, fault.what());
     }
   }
-  if (!operators.empty()) document.merge_patch(read_toml(operators));
+  if (!operators.empty()) {
+    json file = read_toml(operators);
+    name_files_from(file, operators);
+    document.merge_patch(file);
+  }
   if (!environment.ops.empty()) document["ops"] = environment.ops;
   // $TMPDIR is set for many reasons: a folder that was named is meant.
   if (!environment.shared_folder.empty() && !document.contains("shared_folder"))
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "access/settings.h"
 #include "core/interfaces.h"
 #include "log/log.h"
 
@@ -67,6 +68,8 @@
   LinkKind link = LinkKind::kLines;
   MysqlLinkConfig mysql_link;
   std::optional<MysqlFrontConfig> mysql;
+  std::optional<access::AccessSettings> access;           // absent: callers are not identified
+  Duration access_poll = std::chrono::milliseconds(250);  // how often its files are looked at
   LogConfig log;
   std::shared_ptr<const nlohmann::json> document;  // as it was read
 };
@@ -83,6 +86,10 @@
 // The same for a process that runs: what the platform's part of the running configuration says must be there.
 Config load_config(const Environment& environment, const std::string& operators, const Config& running);
 Config read_config(const nlohmann::json& document);
+// The section [access]; its files are named and not read. Throws ConfigError.
+access::AccessSettings read_access(const nlohmann::json& section, const lemonshift::Settings& settings);
+// Checks a section against the published schema (src/config/*.schema.json); throws ConfigError with the key.
+void check_schema(const nlohmann::json& section, const std::string& name);
 
 // A whole file's text, or a ConfigError that names it.
 std::string read_file(const std::string& path);
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -148,6 +148,11 @@
   if (kept.work) event.work = static_cast<double>(to_module(*kept.work));
   event.memory_mb = kept.memory_mb;
   event.is_repeat = kept.is_repeat;
+  if (!kept.tenant.empty()) {
+    for (std::uint32_t i = 0; i < settings_.tenants.size(); ++i) {
+      if (settings_.tenants[i].name == kept.tenant) event.tenant = i;
+    }
+  }
   push(event);
   return key;
 }
@@ -305,16 +310,23 @@
     }
   }
   // Nobody is told: it stands under no count.
-  if (asker) count(request->arrival.cls, asker->on_answer(ticket, std::move(answer)));
+  if (!asker) return;
+  const Verdict told = asker->on_answer(ticket, std::move(answer));
+  if (const Request* still = requests_.find(key)) count(still->arrival.cls, told, still->arrival.tenant);
 }
 
-void Dispatcher::turned_away(lemonshift::ClassIndex cls, Verdict verdict) { count(cls, verdict); }
+void Dispatcher::turned_away(lemonshift::ClassIndex cls, Verdict verdict, std::string_view tenant) {
+  count(cls, verdict, tenant);
+}
 
-void Dispatcher::count(lemonshift::ClassIndex cls, Verdict verdict) {
-  ClassFigures& figures = figures_.by_class[rules(cls).name];
-  ++(verdict == Verdict::kServed    ? figures.served
-     : verdict == Verdict::kRefused ? figures.refused
-                                    : figures.failed);
+void Dispatcher::count(lemonshift::ClassIndex cls, Verdict verdict, std::string_view tenant) {
+  const auto add = [verdict](ClassFigures& figures) {
+    ++(verdict == Verdict::kServed    ? figures.served
+       : verdict == Verdict::kRefused ? figures.refused
+                                      : figures.failed);
+  };
+  add(figures_.by_class[rules(cls).name]);
+  if (!tenant.empty()) add(figures_.access.by_tenant[std::string(tenant)][rules(cls).name]);
 }
 
 Gauges Dispatcher::gauges() const {
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -50,7 +50,7 @@
   // Also those that are answered, or left by their clients, and still run: stopping would cut a load in half.
   std::size_t open_requests() const { return requests_.size(); }
   // A front has answered by itself what never became a request; its class is known.
-  void turned_away(lemonshift::ClassIndex cls, Verdict verdict);
+  void turned_away(lemonshift::ClassIndex cls, Verdict verdict, std::string_view tenant = "");
   Gauges gauges() const;
   // So many processes stand in for this dispatcher now: each has its part of what may be held and of what an
   // engine that has just started may be sent.
@@ -106,7 +106,7 @@
   void cancel_attempt(RequestKey key, std::uint32_t number);
   void finish(RequestKey key, Answer answer);
   void release_if_done(RequestKey key);
-  void count(lemonshift::ClassIndex cls, Verdict verdict);
+  void count(lemonshift::ClassIndex cls, Verdict verdict, std::string_view tenant);
   Attempt* attempt(AttemptKey key);
 
   Loop& loop_;
--- a/src/core/figures.h
+++ b/src/core/figures.h
@@ -1,6 +1,7 @@
 // The figures that operators read. Each is counted in one place, where its event happens; src/ops reads them.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -12,9 +13,21 @@
   std::uint64_t served = 0, refused = 0, failed = 0;
 };
 
+// Of callers, where they are identified.
+struct AccessFigures {
+  bool on = false;
+  std::size_t keys = 0;  // in the set, whether in force or not
+  std::uint64_t checks_cached = 0, checks_run = 0, checks_bad = 0;
+  std::chrono::microseconds check_time{};       // that the checked signatures took
+  std::map<std::string, std::uint64_t> denied;  // by the denial's word
+  // By tenant and class; tenants are those of the operator's file.
+  std::map<std::string, std::map<std::string, ClassFigures, std::less<>>, std::less<>> by_tenant;
+};
+
 // Counters since the process began. Those of a class that was dropped stay, so that sums never fall.
 struct Figures {
   std::map<std::string, ClassFigures, std::less<>> by_class;
+  AccessFigures access;
   std::uint64_t attempts_written = 0;        // to the last byte, to query engines
   std::uint64_t loads = 0, load_errors = 0;  // configurations taken and turned down at SIGHUP
 };
--- /dev/null
+++ b/src/decide/revocation.h
@@ -0,0 +1,32 @@
+// What a list of revoked certificates is good for at a given time (RFC 5280, 5.1.2.4 and 5.1.2.5), and what
+// follows for who shows a certificate.
+#pragma once
+
+#include <optional>
+
+#include "base/time.h"
+
+namespace rookproxy::decide {
+
+struct CrlTimes {
+  Time this_update{};
+  std::optional<Time> next_update;  // none: the issuer promises no successor, so it never goes stale
+};
+
+enum class CrlStanding {
+  kFresh,
+  kInGrace,  // a successor is overdue: still believed, with a warning
+  kTooOld,   // believed no more: nobody is let in by a certificate
+  kMissing,
+  kFromFuture  // its time has not come: some clock is wrong
+};
+
+CrlStanding judge_crl(const std::optional<CrlTimes>& crl, Time now, Duration grace, Duration leeway);
+inline bool fails_closed(CrlStanding standing) {
+  return standing != CrlStanding::kFresh && standing != CrlStanding::kInGrace;
+}
+// May a list take a former one's place? Not one that was made before it: it could leave out who was revoked
+// since.
+bool may_replace(const std::optional<CrlTimes>& former, const CrlTimes& fresh);
+
+}  // namespace rookproxy::decide
--- /dev/null
+++ b/src/decide/token.h
@@ -0,0 +1,68 @@
+// Is a token good? From what it says (already read), the keys in force and the time; the signature itself is
+// checked elsewhere, in between. RFC 7519 (JWT), 7515 (JWS), 7517 (JWK), and RFC 8725's advice.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "decide/access.h"
+
+namespace rookproxy::decide {
+
+// The algorithms that are taken. Each key is for one of them, whatever a token says (RFC 8725, 3.1).
+enum class Algorithm { kEs256, kRs256, kEdDsa };
+std::optional<Algorithm> algorithm_named(std::string_view name);
+std::string_view algorithm_name(Algorithm algorithm);
+
+// A verification key as its set tells of it; the key itself is elsewhere.
+struct KeyFacts {
+  std::string id;
+  Algorithm algorithm = Algorithm::kEs256;
+  // In force from the first to before the second ("nbf" and "exp" beside the JWK's own members). They let the
+  // old and the new key overlap; none: no bound.
+  std::optional<Time> not_before, not_after;
+  std::string print;  // of its public part: a key that comes back changed under its id is another one
+};
+
+struct TokenHeader {
+  std::string algorithm, key_id, type;
+  bool has_critical = false;      // "crit", whatever is in it: no extension is understood here
+  bool has_embedded_key = false;  // "jwk", "jku", "x5u", "x5c": keys come from the set alone
+};
+
+struct TokenClaims {
+  std::string issuer, subject, tenant, id;
+  std::vector<std::string> audience, roles;
+  std::optional<double> expires, not_before, issued_at;  // seconds of Unix time
+};
+
+struct TokenRules {
+  std::vector<std::string> issuers;
+  std::string audience;
+  Duration leeway{};        // for clocks that differ, at either end
+  Duration longest_life{};  // from "iat" to "exp" at most; 0: no bound
+};
+
+// Tokens and subjects that were taken back before their time.
+struct Revoked {
+  std::vector<std::string> tokens;    // by "jti", sorted
+  std::vector<std::string> subjects;  // sorted
+  bool holds(const TokenClaims& claims) const;
+};
+
+// Which key the token's signature is to be checked with: its place in `keys`, or why there is none.
+struct KeyChoice {
+  Denial denial = Denial::kNone;
+  std::size_t key = 0;
+};
+KeyChoice choose_key(const TokenHeader& header, const std::vector<KeyFacts>& keys, Time now, Duration leeway);
+
+// Everything but the signature. It is cheap, so it comes first: what fails here costs no check.
+Denial judge_claims(const TokenClaims& claims, const TokenRules& rules, const Revoked& revoked, Time now);
+// What a token whose signature verified has proven.
+Identity identity_of(const TokenClaims& claims, const TokenRules& rules, const KeyFacts& key);
+
+}  // namespace rookproxy::decide
--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -6,6 +6,7 @@
 
 #include "base/numbers.h"
 #include "sql/lexer.h"
+#include "sql/tables.h"
 
 namespace rookproxy {
 namespace frames {
@@ -90,11 +91,14 @@
 
 namespace {
 
+// A token that waits to be checked is given up this long before its client does.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(8);
 // One whose bytes come with longer pauses has stopped halfway.
 constexpr Duration kPieces = std::chrono::milliseconds(700);
 // Nobody is pushed out before what it sent with its connection could be read.
 constexpr Duration kFresh = std::chrono::milliseconds(20);
 constexpr Duration kLinger = std::chrono::milliseconds(300);
+constexpr Duration kNoRoomPause = std::chrono::seconds(1);
 constexpr std::size_t kUsualLength = 16 * 1024;  // of a frame; larger ones have to share a budget
 // Figures beyond these are no estimates: they would only mislead the module about what usual requests take.
 constexpr int kMostDeadlines = 4;                     // of its class, that a client may wait
@@ -253,8 +257,24 @@
     });
   }
 
+  // Nothing more is taken here, for that reason; once nothing is open the connection ends.
+  void end_when_idle(decide::Denial reason) {
+    if (dead_ || leaving_ != decide::Denial::kNone) return;
+    leaving_ = reason;
+    front_.loop_.cancel(idle_timer_);
+    go_away();
+    rest();
+  }
+
   void rest() {
     if (dead_) return;
+    if (leaving_ != decide::Denial::kNone) {
+      // Once, whatever else it sends: what crosses the word to go away is still refused by name.
+      if (!open_.empty() || idle_timer_.second != 0) return;
+      idle_timer_ =
+          front_.loop_.at(front_.loop_.now() + kLinger, [this] { broken("its credentials are not good"); });
+      return;
+    }
     front_.loop_.cancel(idle_timer_);
     if (!open_.empty()) return;
     idle_timer_ = front_.loop_.at(front_.loop_.now() + front_.limits_.idle, [this] { front_.drop(key_); });
@@ -286,7 +306,7 @@
         if (const auto found = open_.find(frame.stream); found != open_.end()) {
           const SlotKey ticket = found->second;
           open_.erase(found);
-          if (const auto known = front_.take_ticket(ticket)) front_.core_.asker_gone(known->request);
+          front_.give_up(ticket);
           rest();
         }
         return;  // its answer has crossed this on the way: fine
@@ -309,6 +329,12 @@
     };
     const auto call = field("call"), op = field("op"), ttl_text = field("ttl");
     const auto cls = op ? front_.core_.class_named(*op) : std::nullopt;
+    if (leaving_ != decide::Denial::kNone) {
+      front_.gate_->audit(leaving_, {}, op.value_or(""), {"frames", call.value_or("")});
+      if (cls) front_.core_.turned_away(*cls, Verdict::kRefused);
+      return answer(frame.stream, frames::kRefused, {{"denied", std::string(decide::denial_word(leaving_))}},
+                    decide::denial_text(leaving_));
+    }
     const auto unusable = [&](std::string_view why) {
       if (cls) front_.core_.turned_away(*cls, Verdict::kFailed);
       reject(frame.stream, why);
@@ -356,14 +382,77 @@
     front_.open_calls_.emplace(*call);
     open_[frame.stream] = ticket;
     front_.loop_.cancel(idle_timer_);
+    if (front_.gate_)
+      return identify(ticket, std::move(arrival), field(front_.gate_->settings().token_field));
+    accept(ticket, arrival);
+  }
+
+  void accept(SlotKey ticket, const Arrival& arrival) {
     front_.tickets_.find(ticket)->request = front_.core_.accept(arrival, front_, ticket);
   }
 
+  // The token goes no further than this.
+  void identify(SlotKey ticket, Arrival arrival, std::optional<std::string_view> token) {
+    if (!token)
+      return judge(ticket, std::move(arrival), {decide::Denial::kNoCredentials, nullptr, {}, false});
+    const std::size_t bytes = arrival.query->bytes();
+    if (front_.checking_ + bytes > front_.limits_.most_unfinished) {
+      return judge(ticket, std::move(arrival), {decide::Denial::kBusy, nullptr, kNoRoomPause, false});
+    }
+    auto waiting = std::make_shared<Arrival>(std::move(arrival));
+    // It is destroyed with its check, which ends with this connection at the latest.
+    const auto done = [this, ticket, waiting](access::Proof proof) {
+      front_.end_check(*front_.tickets_.find(ticket));
+      // The settings may have changed meanwhile, and a class's place with them.
+      const auto cls = front_.core_.class_named(waiting->query->class_name);
+      if (!cls) {
+        return reject(front_.take_ticket(ticket)->stream, "field op: unknown class");
+      }
+      waiting->cls = *cls;
+      judge(ticket, std::move(*waiting), std::move(proof));
+    };
+    access::Gatekeeper::CheckKey check = 0;
+    const Time until = std::max(front_.loop_.now(), waiting->give_up_at - kAnswerMargin);
+    auto proof = front_.gate_->check(*token, key_, until, done, check);
+    if (proof) return judge(ticket, std::move(*waiting), std::move(*proof));
+    Ticket& kept = *front_.tickets_.find(ticket);
+    kept.check = check;
+    kept.checking = bytes;
+    front_.checking_ += bytes;
+  }
+
+  void judge(SlotKey ticket, Arrival arrival, access::Proof proof) {
+    static const decide::Identity kNobody;
+    const Query& query = *arrival.query;
+    const access::Asked asked{"frames", query.id};
+    decide::Denial denial = proof.denial;
+    if (denial != decide::Denial::kNone) {
+      front_.gate_->audit(denial, kNobody, query.class_name, asked);
+    } else {
+      const bool may_write = front_.core_.rules(arrival.cls).effect == lemonshift::Effect::kUnsafe;
+      // Which engine reads it, and how, is not known here.
+      const auto facts = sql::statement_facts(query.statement, "", sql::Dialect::kAny);
+      denial = front_.gate_->judge(*proof.identity, query.class_name, may_write, facts, asked);
+      arrival.tenant = proof.identity->tenant;
+    }
+    if (denial == decide::Denial::kNone) return accept(ticket, arrival);
+    const auto known = front_.take_ticket(ticket);
+    front_.core_.turned_away(arrival.cls, Verdict::kRefused, arrival.tenant);
+    frames::Fields fields{{"denied", std::string(decide::denial_word(denial))}};
+    if (proof.again) {
+      const auto pause = std::chrono::ceil<std::chrono::milliseconds>(*proof.again);
+      fields["pushback"] = std::to_string(pause.count());
+    }
+    answer(known->stream, frames::kRefused, fields, decide::denial_text(denial));
+    if (proof.close) end_when_idle(denial);
+  }
+
   FramesFront& front_;
   SlotKey key_;
   std::map<std::uint32_t, SlotKey> open_;
   std::size_t skip_ = 0;
   bool dead_ = false;
+  decide::Denial leaving_ = decide::Denial::kNone;
   std::size_t reserved_ = 0;  // of the budget for large frames
   bool begun_ = false;        // a frame, that is not yet whole
   Time came_at_ = front_.loop_.now(), heard_at_ = came_at_, spoken_at_{};
@@ -371,11 +460,13 @@
   Stream stream_;
 };
 
-FramesFront::FramesFront(Loop& loop, Log& log, Dispatcher& core, Fd listener, Limits limits)
+FramesFront::FramesFront(Loop& loop, Log& log, Dispatcher& core, Fd listener, Limits limits,
+                         access::Gatekeeper* gate)
     : loop_(loop),
       log_(log),
       core_(core),
       limits_(limits),
+      gate_(gate),
       acceptor_(
           loop, std::move(listener), [this](Fd fd) { accept(std::move(fd)); }, false,
           [this] { return connections_.size() < limits_.most_connections || quietest() != 0; }) {}
@@ -393,6 +484,22 @@
   return ticket;
 }
 
+void FramesFront::give_up(SlotKey key) {
+  const auto known = take_ticket(key);
+  if (!known) return;
+  if (known->check != 0) {
+    checking_ -= known->checking;
+    gate_->cancel(known->check);
+  } else {
+    core_.asker_gone(known->request);
+  }
+}
+
+void FramesFront::end_check(Ticket& ticket) {
+  checking_ -= std::exchange(ticket.checking, 0);
+  ticket.check = 0;
+}
+
 std::size_t FramesFront::untaken() const {
   std::size_t sum = 0;
   for (const SlotKey key : connections_.keys()) sum += find(key)->untaken();
@@ -421,9 +528,8 @@
 void FramesFront::drop(SlotKey key) {
   Connection* connection = find(key);
   if (!connection) return;
-  for (const SlotKey ticket : connection->abandon()) {
-    if (const auto known = take_ticket(ticket)) core_.asker_gone(known->request);
-  }
+  for (const SlotKey ticket : connection->abandon()) give_up(ticket);
+  if (gate_) gate_->source_gone(key);
   auto kept = std::make_shared<std::unique_ptr<Connection>>(std::move(*connections_.take(key)));
   loop_.defer([kept] {});
 }
@@ -464,9 +570,16 @@
   return std::any_of(keys.begin(), keys.end(), [this](SlotKey key) { return find(key)->is_receiving(); });
 }
 
+std::size_t FramesFront::checks_open() const {
+  const auto keys = tickets_.keys();
+  return static_cast<std::size_t>(std::count_if(
+      keys.begin(), keys.end(), [this](SlotKey key) { return tickets_.find(key)->check != 0; }));
+}
+
 bool FramesFront::is_flushed() {
   const auto keys = connections_.keys();
-  return std::all_of(keys.begin(), keys.end(), [this](SlotKey key) { return find(key)->is_flushed(); });
+  return checks_open() == 0 &&
+         std::all_of(keys.begin(), keys.end(), [this](SlotKey key) { return find(key)->is_flushed(); });
 }
 
 }  // namespace rookproxy
--- a/src/front/frames.h
+++ b/src/front/frames.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <unordered_set>
 
+#include "access/gatekeeper.h"
 #include "core/dispatcher.h"
 #include "net/stream.h"
 
@@ -60,7 +61,9 @@
     Duration silence = std::chrono::milliseconds(2500), patience = std::chrono::milliseconds(2600);
   };
   // Accepts nothing until it is told to.
-  FramesFront(Loop& loop, Log& log, Dispatcher& core, Fd listener, Limits limits);
+  // `gate`: identifies callers; without one nobody is told apart.
+  FramesFront(Loop& loop, Log& log, Dispatcher& core, Fd listener, Limits limits,
+              access::Gatekeeper* gate = nullptr);
   ~FramesFront();
 
   Verdict on_answer(std::uint64_t ticket, Answer answer) override;
@@ -69,7 +72,7 @@
   void accept_clients(bool accepting) { accepting ? acceptor_.start() : acceptor_.stop(); }
   // Other shares of what the dispatcher may hold; what is over them goes as others come.
   void resize(std::size_t most_connections, std::size_t most_unfinished, std::size_t most_untaken);
-  // Nothing queued for a client, nor a request that is still on its way in.
+  // Nothing queued for a client, nor a token that waits to be checked; a request that is on its way in.
   bool is_flushed();
   bool is_receiving() const;
   std::uint16_t port() const { return acceptor_.port(); }
@@ -81,11 +84,16 @@
     std::uint32_t stream;
     RequestKey request;
     std::string call;
+    access::Gatekeeper::CheckKey check = 0;  // its token waits to be checked
+    std::size_t checking = 0;                // bytes that are held meanwhile
   };
   void accept(Fd fd);
   void drop(SlotKey key);
   SlotKey quietest() const;  // of those that may go; 0: none
   std::optional<Ticket> take_ticket(SlotKey key);
+  void give_up(SlotKey ticket);  // its client waits no more
+  void end_check(Ticket& ticket);
+  std::size_t checks_open() const;
   std::size_t untaken() const;
   Connection* find(SlotKey key) const;
 
@@ -93,9 +101,11 @@
   Log& log_;
   Dispatcher& core_;
   Limits limits_;
+  access::Gatekeeper* gate_;
   SlotTable<std::unique_ptr<Connection>> connections_;
   SlotTable<Ticket> tickets_;
   std::unordered_set<std::string> open_calls_;
+  std::size_t checking_ = 0;    // bytes of requests whose tokens wait to be checked
   std::size_t unfinished_ = 0;  // announced lengths of large frames that have begun
   bool draining_ = false;
   Acceptor acceptor_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,6 +3,7 @@
 
 #include <csignal>
 
+#include "access/settings.h"
 #include "app/app.h"
 #include "net/signals.h"
 #include "options/options.h"
@@ -25,7 +26,10 @@
   return run_program(
       argc, argv, "rookproxy", kAbout, kFooter, false, [](const ProgramOptions& options, Log& log) {
         const Config config = load_config(read_environment(), options.file);
-        if (options.check) return report_fine();
+        if (options.check) {
+          if (config.access) access::read_files(*config.access);
+          return report_fine();
+        }
         log.set_host(config.name);
         configure_log(log, config.log);
         Loop loop;
--- a/src/ops/ops.cpp
+++ b/src/ops/ops.cpp
@@ -20,6 +20,22 @@
   put("in_progress", gauges.in_progress);
   put("known_query_engines", gauges.engines_listed);
   put("skipped_query_engines", gauges.engines_avoided);
+  if (figures.access.on) {
+    const AccessFigures& access = figures.access;
+    put("keys", access.keys);
+    put("token_checks.cached", access.checks_cached);
+    put("token_checks.run", access.checks_run);
+    put("token_checks.bad", access.checks_bad);
+    put("token_checks.us", static_cast<std::uint64_t>(access.check_time.count()));
+    for (const auto& [word, times] : access.denied) put("denied." + word, times);
+    for (const auto& [tenant, classes] : access.by_tenant) {
+      for (const auto& [name, one] : classes) {
+        put("tenant." + tenant + ".passed." + name, one.served);
+        put("tenant." + tenant + ".dropped." + name, one.refused);
+        put("tenant." + tenant + ".bad_gateway." + name, one.failed);
+      }
+    }
+  }
   put("loads", figures.loads);
   put("load_errors", figures.load_errors);
   return text;
--- a/src/sql/lexer.cpp
+++ b/src/sql/lexer.cpp
@@ -112,6 +112,55 @@
   return out;
 }
 
+std::optional<std::string> ambiguity(std::string_view s, bool mysql) {
+  for (std::size_t i = 0; i < s.size();) {
+    const char c = s[i];
+    const char next = i + 1 < s.size() ? s[i + 1] : '\0';
+    const char after = i + 2 < s.size() ? s[i + 2] : ' ';
+    if (static_cast<unsigned char>(c) < 32 && c != '\t' && c != '\n' && c != '\r')
+      return "a control character";
+    if (!mysql && (c == '$' || c == '#' || c == '[' || c == '{')) return std::string("a '") + c + "'";
+    if (c == '#' || (c == '-' && next == '-')) {
+      if (c == '-' && static_cast<unsigned char>(after) > ' ') {
+        if (!mysql) return "'--' with no space after it";
+        ++i;  // two minus signs
+        continue;
+      }
+      // Some end such a comment at a lone carriage return.
+      const auto end = std::min(s.find('\n', i), s.size());
+      if (s.substr(i, end - i).find('\r') < end - i - (end < s.size() && s[end - 1] == '\r')) {
+        return "a carriage return in a comment";
+      }
+      i = end;
+    } else if (c == '/' && next == '*') {
+      if (after == '!' || (after == 'M' && i + 3 < s.size() && s[i + 3] == '!')) {
+        return "a comment that some servers run";
+      }
+      const auto end = s.find("*/", i + 2);
+      if (end == s.npos) return "a comment that does not end";
+      if (s.substr(i + 2, end - i - 2).find("/*") != s.npos) return "a comment within a comment";
+      i = end + 2;
+    } else if (c == '\'' || c == '"' || c == '`') {
+      std::size_t at = i + 1;
+      for (;; ++at) {
+        if (at >= s.size()) return "a quote that does not end";
+        if (s[at] == '\0') return "a control character";
+        if (s[at] == '\\' && c != '`') {
+          if (!mysql) return "a backslash in a string";
+          ++at;
+        } else if (s[at] == c) {
+          if (at + 1 >= s.size() || s[at + 1] != c) break;
+          ++at;
+        }
+      }
+      i = at + 1;
+    } else {
+      ++i;
+    }
+  }
+  return std::nullopt;
+}
+
 std::uint64_t table_group(std::string_view statement, std::string_view schema) {
   const auto list = tokens(statement);
   std::optional<std::uint64_t> anywhere;
@@ -140,6 +189,142 @@
   return anywhere.value_or(0);
 }
 
+bool is_harmless_function(const Token& token) {
+  constexpr auto kNames = std::to_array<std::string_view>({"ABS",
+                                                           "ASCII",
+                                                           "AVG",
+                                                           "BINARY",
+                                                           "BIT_COUNT",
+                                                           "CAST",
+                                                           "CEIL",
+                                                           "CEILING",
+                                                           "CHAR",
+                                                           "CHAR_LENGTH",
+                                                           "COALESCE",
+                                                           "CONCAT",
+                                                           "CONCAT_WS",
+                                                           "CONVERT",
+                                                           "COUNT",
+                                                           "CRC32",
+                                                           "CUME_DIST",
+                                                           "CURDATE",
+                                                           "CURRENT_DATE",
+                                                           "CURRENT_TIME",
+                                                           "CURRENT_TIMESTAMP",
+                                                           "CURTIME",
+                                                           "DATABASE",
+                                                           "DATE",
+                                                           "DATEDIFF",
+                                                           "DATETIME",
+                                                           "DATE_ADD",
+                                                           "DATE_FORMAT",
+                                                           "DATE_SUB",
+                                                           "DAY",
+                                                           "DAYNAME",
+                                                           "DAYOFMONTH",
+                                                           "DAYOFWEEK",
+                                                           "DAYOFYEAR",
+                                                           "DECIMAL",
+                                                           "DENSE_RANK",
+                                                           "EXTRACT",
+                                                           "FIRST_VALUE",
+                                                           "FLOOR",
+                                                           "FORMAT",
+                                                           "FROM_UNIXTIME",
+                                                           "GREATEST",
+                                                           "GROUP_CONCAT",
+                                                           "HEX",
+                                                           "HOUR",
+                                                           "IF",
+                                                           "IFNULL",
+                                                           "INSTR",
+                                                           "ISNULL",
+                                                           "JSON_ARRAY",
+                                                           "JSON_EXTRACT",
+                                                           "JSON_OBJECT",
+                                                           "JSON_UNQUOTE",
+                                                           "LAG",
+                                                           "LAST_DAY",
+                                                           "LAST_VALUE",
+                                                           "LEAD",
+                                                           "LEAST",
+                                                           "LEFT",
+                                                           "LENGTH",
+                                                           "LN",
+                                                           "LOCATE",
+                                                           "LOG",
+                                                           "LOWER",
+                                                           "LPAD",
+                                                           "LTRIM",
+                                                           "MAX",
+                                                           "MD5",
+                                                           "MID",
+                                                           "MIN",
+                                                           "MINUTE",
+                                                           "MOD",
+                                                           "MONTH",
+                                                           "MONTHNAME",
+                                                           "NOW",
+                                                           "NTILE",
+                                                           "NULLIF",
+                                                           "PERCENT_RANK",
+                                                           "POW",
+                                                           "POWER",
+                                                           "QUARTER",
+                                                           "RANK",
+                                                           "REPEAT",
+                                                           "REVERSE",
+                                                           "RIGHT",
+                                                           "ROUND",
+                                                           "ROW",
+                                                           "ROW_NUMBER",
+                                                           "RPAD",
+                                                           "RTRIM",
+                                                           "SECOND",
+                                                           "SHA1",
+                                                           "SHA2",
+                                                           "SIGN",
+                                                           "SQRT",
+                                                           "STD",
+                                                           "STDDEV",
+                                                           "STDDEV_POP",
+                                                           "STDDEV_SAMP",
+                                                           "STR_TO_DATE",
+                                                           "SUBSTR",
+                                                           "SUBSTRING",
+                                                           "SUBSTRING_INDEX",
+                                                           "SUM",
+                                                           "TIME",
+                                                           "TIMESTAMPDIFF",
+                                                           "TIMESTAMP",
+                                                           "TRIM",
+                                                           "TRUNCATE",
+                                                           "UCASE",
+                                                           "UNHEX",
+                                                           "UNIX_TIMESTAMP",
+                                                           "UPPER",
+                                                           "UTC_TIMESTAMP",
+                                                           "VARCHAR",
+                                                           "VARIANCE",
+                                                           "VAR_POP",
+                                                           "VAR_SAMP",
+                                                           "VERSION",
+                                                           "WEEK",
+                                                           "WEEKDAY",
+                                                           "YEAR"});
+  return among(token, kNames);
+}
+
+bool is_word_before_parenthesis(const Token& token) {
+  constexpr auto kWords = std::to_array<std::string_view>(
+      {"ALL",       "AND",      "ANY",    "AS",        "BETWEEN", "BY",      "CASE", "DISTINCT",
+       "DIV",       "ELSE",     "EXCEPT", "EXISTS",    "FROM",    "HAVING",  "IN",   "INDEX",
+       "INTERSECT", "INTERVAL", "IS",     "JOIN",      "KEY",     "LATERAL", "LIKE", "NOT",
+       "ON",        "OR",       "OVER",   "PARTITION", "REGEXP",  "SELECT",  "SOME", "THEN",
+       "UNION",     "USING",    "VALUE",  "VALUES",    "WHEN",    "WHERE",   "XOR"});
+  return among(token, kWords);
+}
+
 bool only_reads(std::string_view statement) {
   const auto list = tokens(statement);
   if (list.empty()) return true;
@@ -157,15 +342,7 @@
     if (list[i].kind == Token::Kind::kQuotedName && i + 1 < list.size() && is_mark(list[i + 1], '('))
       return false;
     if (list[i].kind != Token::Kind::kWord || i + 1 >= list.size() || !is_mark(list[i + 1], '(')) continue;
-    constexpr std::array<std::string_view, 56> kHarmless{
-        "COUNT",        "SUM",      "AVG",    "MIN",       "MAX",      "COALESCE", "IFNULL",      "NULLIF",
-        "IF",           "CONCAT",   "SUBSTR", "SUBSTRING", "LOWER",    "UPPER",    "TRIM",        "LENGTH",
-        "ROUND",        "FLOOR",    "CEIL",   "CEILING",   "ABS",      "MOD",      "NOW",         "DATE",
-        "YEAR",         "MONTH",    "DAY",    "DATEDIFF",  "DATE_ADD", "DATE_SUB", "DATE_FORMAT", "CAST",
-        "CONVERT",      "LEFT",     "RIGHT",  "REPEAT",    "IN",       "VALUES",   "AND",         "OR",
-        "NOT",          "ON",       "USING",  "FROM",      "JOIN",     "SELECT",   "WHERE",       "AS",
-        "GROUP_CONCAT", "DISTINCT", "EXISTS", "OVER",      "BY",       "VERSION",  "DATABASE",    "HAVING"};
-    if (!among(list[i], kHarmless)) return false;
+    if (!is_harmless_function(list[i]) && !is_word_before_parenthesis(list[i])) return false;
   }
   return true;
 }
--- a/src/sql/lexer.h
+++ b/src/sql/lexer.h
@@ -19,8 +19,18 @@
 // Comments are left out, except the bodies of '/*!' ones, which MySQL runs. Unclosed strings run to the end.
 std::vector<Token> tokens(std::string_view statement);
 
+// Where servers, or their modes, would part the text otherwise, so that these tokens may not be what is run:
+// the first such place in words, or nothing. `mysql`: only what MySQL servers themselves read differently.
+std::optional<std::string> ambiguity(std::string_view statement, bool mysql);
+
 bool is_word(const Token& token, std::string_view upper_case);
 
+// Of a word before a parenthesis: is it a function that looks at nothing but its arguments and the session,
+// or a word that may stand there without being one? Any other may be a stored function, which reads and
+// writes what it likes.
+bool is_harmless_function(const Token& token);
+bool is_word_before_parenthesis(const Token& token);
+
 // The group of tables: the number after the underscore in the name of the schema that the statement reads or
 // writes; 0 if it names none. `schema` is the connection's default, used where tables carry no schema's name.
 std::uint64_t table_group(std::string_view statement, std::string_view schema = "");
--- a/tests/dispatch/parts.cpp
+++ b/tests/dispatch/parts.cpp
@@ -276,7 +276,7 @@
     auto query = std::make_shared<Query>();
     query->id = std::to_string(++asked);
     const RequestKey key =
-        core.accept({query, *core.class_named(cls), 1, loop.now() + ttl, {}, {}, false}, *this, asked);
+        core.accept({query, *core.class_named(cls), 1, loop.now() + ttl, {}, {}, false, ""}, *this, asked);
     core.settle();
     return key;
   }
@@ -378,7 +378,7 @@
   bench.list({{"a", kUp}});
   auto query = std::make_shared<Query>();
   query->statement.assign(64u << 20, 'x');
-  bench.core.accept({query, 0, 0, bench.loop.now() + 3s, {}, {}, false}, bench, 1);
+  bench.core.accept({query, 0, 0, bench.loop.now() + 3s, {}, {}, false, ""}, bench, 1);
   CHECK(bench.run_until([&] { return !bench.answers.empty(); }));
   CHECK(bench.answers[0].verdict == Verdict::kRefused);
   CHECK(bench.answers[0].again);
@@ -455,7 +455,7 @@
     bench.core.settle();
     for (int i = 0; i < 100; ++i) {
       auto query = std::make_shared<Query>();
-      bench.core.accept({query, 0, 1, bench.loop.now() + 3s, Duration(200ms), {}, false}, bench, 1);
+      bench.core.accept({query, 0, 1, bench.loop.now() + 3s, Duration(200ms), {}, false, ""}, bench, 1);
       bench.core.settle();
       if (!bench.orders.empty()) {
         bench.core.attempt_ended(bench.orders.back().key, {Outcome::kServed, std::nullopt, ""});
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -14,6 +14,7 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "callers.h"
 #include "front/frames.h"
 #include "link/lines.h"
 #include "standins/standins.h"
@@ -185,6 +186,7 @@
   Player() {
     folder_ = new_folder();
     require(!folder_.empty(), "no folder");
+    callers_ = std::make_unique<Callers>(folder_);
   }
   ~Player() { std::filesystem::remove_all(folder_); }
   std::string log() const {
@@ -238,6 +240,32 @@
     if (verb == "expect") return expect();
     if (verb == "close") return close();
     if (verb == "wait") return std::this_thread::sleep_for(std::chrono::milliseconds(std::stoi(word())));
+    if (verb == "access") {
+      config_["access"] = callers_->section();
+      return;
+    }
+    if (verb == "key") {
+      const std::string name = word();
+      return callers_->make_key(name, word());
+    }
+    if (verb == "publish") {
+      std::vector<std::string> keys;
+      for (std::string spec = word(); !spec.empty(); spec = word()) keys.push_back(spec);
+      return callers_->publish(keys);
+    }
+    if (verb == "token") {
+      const std::string name = word(), key = word(), role = word(), changes = rest();
+      tokens_[name] = callers_->token(key, role, changes.empty() ? json::object() : json::parse(changes));
+      return;
+    }
+    if (verb == "spoil") {
+      std::ofstream(folder_ + "/keys.json") << rest();
+      return;
+    }
+    if (verb == "revoke") {
+      const std::string kind = word();
+      return callers_->revoke(kind, word());
+    }
     if (verb == "signal") {
       std::string name = word();
       Process& to = name == "old" ? old_ : process_;
@@ -408,6 +436,8 @@
     if (half) what = word();
     if (what == "finish") return client.peer.send(std::exchange(client.unsent, ""));
     if (what == "slowly") pause = std::chrono::milliseconds(std::stoi(word()) / 10), what = word();
+    std::string as;
+    if (what == "as") as = word(), what = word();
     if (what == "hex") return client.peer.send(from_hex(word()));
     const auto stream = static_cast<std::uint32_t>(std::stoul(word()));
     if (what == "abandon") return client.peer.send(frames::make_frame(frames::kAbandon, stream, ""));
@@ -426,6 +456,7 @@
         fields[part.substr(0, part.find('='))] = part.substr(part.find('=') + 1);
       }
     }
+    if (!as.empty()) fields["token"] = tokens_.contains(as) ? tokens_.at(as) : as;
     std::string payload(1, static_cast<char>(fields.size()));
     for (const auto& [key, value] : fields) {
       payload += static_cast<char>(key.size()) + key;
@@ -493,13 +524,18 @@
     }
     require(frame->type == frames::kAnswer, "not an answer but type " + std::to_string(frame->type));
     if (what == "error") return require(frame->stream == 0, "an error on a stream");
-    const int code = what == "served" ? 0 : what == "refused" ? 1 : 2;
+    const int code = what == "served" ? 0 : what == "refused" || what == "denied" ? 1 : 2;
     std::string_view body = frame->payload.substr(1);
     frames::Fields fields;
     require(frames::parse_fields(body, fields), "unreadable fields");
     require(frame->stream == std::stoul(word()), "on stream " + std::to_string(frame->stream));
     require(frame->payload[0] == code,
             "code " + std::to_string(frame->payload[0]) + ": " + std::string(body));
+    if (what == "denied") {
+      const auto reason = fields.find("denied");
+      return require(reason != fields.end() && reason->second == word(),
+                     "denied for another reason: " + std::string(body));
+    }
     require(code != 1 || fields.contains("pushback"), "a refusal without a time to come back");
     const std::string text = rest();
     require(code == 0 ? body == text : body.find(text) != body.npos, "body '" + std::string(body) + "'");
@@ -569,6 +605,10 @@
       return require(answer_.find(rest()) != std::string::npos, "the answer is\n" + answer_);
     }
     if (name == "log") return static_cast<void>(process_.wait_for(rest()));
+    if (name == "nolog") {
+      const std::string text = rest();
+      return require(process_.log().find(text) == std::string::npos, "the log holds it");
+    }
     if (name == "executed" || name == "prepared" || name == "duplicates") return expect_count(name);
     const std::string what = word();
     if (name == "old" && what == "log") return static_cast<void>(old_.wait_for(rest()));
@@ -615,6 +655,8 @@
   std::unique_ptr<DirectoryStandIn> directory_ = std::make_unique<DirectoryStandIn>();
   std::map<std::string, LineEngine> line_engines_;
   std::map<std::string, std::unique_ptr<MysqlStandIn>> mysql_engines_;
+  std::unique_ptr<Callers> callers_;
+  std::map<std::string, std::string> tokens_;
   std::map<std::string, Client> clients_;
   std::vector<Peer> held_;
   std::string answer_;
--- a/tests/dispatch/scenario.h
+++ b/tests/dispatch/scenario.h
@@ -34,6 +34,13 @@
 //   call TEXT                       one line to the operators' address; its answer is kept
 //   expect answer TEXT              that answer, in part
 //   expect figure NAME=VALUE        waits until METRICS shows svc.NAME=VALUE
+//   access                          callers are identified from the start on (Callers::section)
+//   key K ES256|RS256|EdDSA | publish K[:NBF:EXP] ...     makes a key; the set of those keys is in place
+//   token T K ROLE [JSON]           a token signed with K; the claims changed by that merge patch ("exp":"+3": in 3 s)
+//   revoke jti|sub NAME | spoil TEXT                      TEXT in place of the set of keys
+//   expect nolog TEXT               the log does not hold it
+//   send C as T request ...         with that token, or with T itself as one
+//   expect C denied STREAM REASON   refused for that reason
 //   hold N [TEXT]                   N connections to the operators' address, with no whole call on them
 //   expect log TEXT                 waits until the dispatcher's log holds it
 //   expect dispatcher exit CODE | expect old exit CODE | expect old log TEXT
