--- a/src/access/gatekeeper.cpp
+++ b/src/access/gatekeeper.cpp
@@ -11,6 +11,8 @@
 // Checks a turn, so that the loop's other work has its share of each.
 constexpr int kChecksATurn = 8;
 
+constexpr int kMostAuditLines = 100;  // a second, half of what the log takes
+
 // A client that sends these has no business here; one whose token expired or whose key is not yet in the set
 // may have.
 bool is_bad(Denial denial) {
@@ -235,6 +237,19 @@
 void Gatekeeper::audit(Denial denial, const decide::Identity& identity, std::string_view class_name,
                        const Asked& asked, std::string_view detail) {
   ++figures_.denied[std::string(decide::denial_word(denial))];
+  // A flood must not push other lines out of the log: what is over its share of a second is counted.
+  if (loop_.now() - audit_second_ >= std::chrono::seconds(1)) {
+    audit_second_ = loop_.now();
+    audit_lines_ = 0;
+    if (const auto left_out = std::exchange(audit_left_out_, 0); left_out > 0) {
+      log_.line(Level::kWarning, "access", "denials not written one by one",
+                {{"count", std::to_string(left_out)}});
+    }
+  }
+  if (++audit_lines_ > kMostAuditLines) {
+    ++audit_left_out_;
+    return;
+  }
   log_.line(Level::kNotice, "access", decide::denial_text(denial),
             {{"denied", std::string(decide::denial_word(denial))},
              {"subject", identity.subject},
--- a/src/access/gatekeeper.h
+++ b/src/access/gatekeeper.h
@@ -92,6 +92,9 @@
   std::uint64_t revision_ = 1;
   decide::TokenCache cache_;
   decide::CheckQueue queue_;
+  Time audit_second_{};
+  int audit_lines_ = 0;
+  std::uint64_t audit_left_out_ = 0;
   std::unordered_map<CheckKey, Pending> pending_;
   CheckKey next_key_ = 1;
   TimerKey timer_{};
--- a/src/decide/access.h
+++ b/src/decide/access.h
@@ -84,7 +84,7 @@
 
 enum class Denial {
   kNone,
-  kNoCredentials,      // none was shown, and none is needed less
+  kNoCredentials,      // neither a token nor a certificate was shown
   kMalformed,          // not a token at all, or larger than one may be
   kAlgorithm,          // 'none', an HMAC, or another than its key's
   kCritical,           // it demands extensions that are not understood
--- a/tests/dispatch/access.cpp
+++ b/tests/dispatch/access.cpp
@@ -3,8 +3,8 @@
 
 #include "access/base64url.h"
 #include "access/gatekeeper.h"
-#include "standins/callers.h"
 #include "scenario.h"
+#include "standins/callers.h"
 
 using rookproxy::test::play;
 
@@ -241,6 +241,18 @@
     expect a nothing 50)");
 }
 
+TEST_CASE("frames: keys rotate under load from 50 connections, and no valid caller is refused") {
+  play(R"(
+    lines-engines a b
+    access
+    key old ES256
+    key new EdDSA
+    key stranger ES256
+    publish old
+    start
+    rotate under load from 50)");
+}
+
 TEST_CASE("frames: in TLS, a client certificate stands for its caller, and a token for another") {
   play(R"(
     engines a
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -9,14 +9,16 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <stdexcept>
 
-#include "standins/callers.h"
 #include "front/frames.h"
 #include "link/lines.h"
+#include "standins/callers.h"
+#include "standins/lines_engine.h"
 #include "standins/standins.h"
 
 namespace rookproxy::test {
@@ -271,6 +273,8 @@
       const std::string from = word();
       return callers_->publish_crl(from.empty() ? -1 : std::stoi(from), to);
     }
+    if (verb == "lines-engines") return auto_engines();
+    if (verb == "rotate") return rotate_under_load();
     if (verb == "renew") return callers_->renew_server();
     if (verb == "driver") return run_driver();
     if (verb == "spoil") {
@@ -338,6 +342,106 @@
                         {"load_class", "load"}};
   }
 
+  void auto_engines() {
+    json members = json::array();
+    for (std::string name = word(); !name.empty(); name = word()) {
+      auto_engines_[name] = std::make_unique<LinesEngine>();
+      auto_engines_[name]->keep_statements();
+      members.push_back({{"id", name},
+                         {"host_port", "127.0.0.1:" + std::to_string(auto_engines_[name]->port())},
+                         {"locality", "z"},
+                         {"flavor", "m"},
+                         {"phase", "up"},
+                         {"size", 1},
+                         {"up_since_ms", 0}});
+    }
+    config_["known"]["batch"] =
+        json::array({{{"offset", 1},
+                      {"topology", {{"revision", 1}, {"complete", true}, {"members", std::move(members)}}}}});
+  }
+
+  // One request as a frame, by token.
+  std::string frame_of(std::uint32_t stream, std::uint64_t call, const std::string& token,
+                       const std::string& statement) {
+    std::ostringstream id;
+    id << std::hex << std::setw(16) << std::setfill('0') << call;
+    const frames::Fields fields{{"op", "lookup"}, {"ttl", "3000"}, {"call", id.str()}, {"token", token}};
+    std::string payload(1, static_cast<char>(fields.size()));
+    for (const auto& [key, value] : fields) {
+      payload += static_cast<char>(key.size()) + key;
+      payload += static_cast<char>(value.size() >> 8);
+      payload += static_cast<char>(value.size()) + value;
+    }
+    return frames::make_frame(frames::kRequest, stream, payload + statement);
+  }
+
+  // rotate under load from N connections: `old` gives way to `new` while all of them ask, by the token of the
+  // key that is signed with, and strangers ask in between.
+  void rotate_under_load() {
+    word(), word(), word();
+    const int connections = std::stoi(word());
+    const std::vector<std::string> valid{callers_->token("old", "student"),
+                                         callers_->token("new", "student")};
+    const std::string stranger = callers_->token("stranger", "student");
+    std::atomic<int> key{0}, served{0}, denied{0}, strangers_denied{0}, failed{0};
+    std::atomic<bool> stop{false};
+    const auto ask = [&](int number) {
+      Peer peer = Peer::connect(frames_port_);
+      const bool is_stranger = number < 0;
+      for (std::uint32_t stream = 1; !stop; ++stream) {
+        const std::uint64_t call = (static_cast<std::uint64_t>(number + 2) << 32) + stream;
+        peer.send(frame_of(stream, call, is_stranger ? stranger : valid[static_cast<std::size_t>(key.load())],
+                           is_stranger ? "SELECT x FROM sales_9.stolen" : "SELECT x FROM sales_17.orders"));
+        frames::Frame frame;
+        std::size_t used = 0;
+        while (frames::parse_frame(peer.buffer(), frame, used) != frames::Parse::kOne) {
+          if (!peer.more()) {
+            ++failed;
+            return;
+          }
+        }
+        if (is_stranger && frame.payload[0] == 1) ++strangers_denied;
+        if (!is_stranger) ++(frame.payload[0] == 0 ? served : denied);
+        peer.take(used);
+      }
+    };
+    struct Threads : std::vector<std::thread> {
+      std::atomic<bool>& stop;
+      explicit Threads(std::atomic<bool>& flag) : stop(flag) {}
+      ~Threads() {
+        stop = true;
+        for (auto& thread : *this) {
+          if (thread.joinable()) thread.join();
+        }
+      }
+    } threads(stop);
+    for (int i = 0; i < connections; ++i) threads.emplace_back(ask, i);
+    threads.emplace_back(ask, -1);
+    const auto some_more = [&] {
+      const int from = served;
+      const auto until = std::chrono::steady_clock::now() + kPatience;
+      while (served < from + 20 * connections && std::chrono::steady_clock::now() < until)
+        std::this_thread::sleep_for(1ms);
+    };
+    some_more();
+    callers_->publish({"old", "new"});
+    expect_figure("keys=2");
+    some_more();
+    key = 1;
+    some_more();
+    callers_->publish({"new"});
+    expect_figure("keys=1");
+    some_more();
+    stop = true;
+    for (auto& thread : threads) thread.join();
+    require(failed == 0, std::to_string(failed) + " connections ended");
+    require(served >= 80 * connections, "only " + std::to_string(served) + " served");
+    require(denied == 0, std::to_string(denied) + " valid callers refused");
+    require(strangers_denied > 0, "the stranger was never denied");
+    for (auto& [name, engine] : auto_engines_)
+      require(engine->seen("stolen") == 0, "a stranger's query reached " + name);
+  }
+
   void set() {
     const std::string pointer = word();
     config_[json::json_pointer(pointer)] = json::parse(rest());
@@ -758,6 +862,7 @@
   std::unique_ptr<DirectoryStandIn> directory_ = std::make_unique<DirectoryStandIn>();
   std::map<std::string, LineEngine> line_engines_;
   std::map<std::string, std::unique_ptr<MysqlStandIn>> mysql_engines_;
+  std::map<std::string, std::unique_ptr<LinesEngine>> auto_engines_;
   std::unique_ptr<Callers> callers_;
   std::map<std::string, std::string> tokens_;
   std::map<std::string, Client> clients_;
--- a/tests/dispatch/scenario.h
+++ b/tests/dispatch/scenario.h
@@ -3,6 +3,8 @@
 //
 //   engines A B ...                 engines that the scenario plays, speaking lines
 //   mysql-engines A B ...           engines that speak MySQL by themselves (MysqlStandIn)
+//   lines-engines A B ...           engines that speak lines and answer at once by themselves (LinesEngine)
+//   rotate under load from N        the keys old and new change places while N connections ask; nobody valid is refused
 //   set /a/b VALUE                  a key of the configuration (JSON pointer and value), before start or configure
 //   start                           the dispatcher; waits until it serves
 //   configure [TEXT]                writes the configuration anew, as it stands or as that text
