Give the tests of expiry seconds of room, and let a statement run past its token's end

Tokens, certificates and lists of one or two seconds could end before a busy machine had used them once. They live three to five now, and the MySQL statement is still running when its caller's token ends, which is what the test is for.

--- a/tests/dispatch/access.cpp
+++ b/tests/dispatch/access.cpp
@@ -74,11 +74,11 @@
     key k RS256
     publish k
     start
-    token short k student {"exp":"+1"}
+    token short k student {"exp":"+3"}
     client c
-    send c as short request 1 lookup 3000 SELECT x FROM sales_17.orders
+    send c as short request 1 lookup 9000 SELECT x FROM sales_17.orders
     expect a REQ
-    wait 1100
+    wait 3100
     send c as short request 2 lookup 3000 SELECT x FROM sales_17.orders
     expect c denied 2 expired
     send a data parts=1 ok\n
@@ -384,12 +384,12 @@
     key k ES256
     publish k
     tls frames required
-    certificate officer URI:urn:test:officer -10 2
+    certificate officer URI:urn:test:officer -10 4
     start
     client o tls officer
     send o request 1 lookup 9000 SELECT 1
     expect a REQ
-    wait 2100
+    wait 4100
     send o request 2 lookup 3000 SELECT 1
     expect o denied 2 expired
     send a data parts=1 ok\n
@@ -405,14 +405,14 @@
     publish k
     tls frames required crl
     certificate officer URI:urn:test:officer
-    crl 2
+    crl 5
     start
     client o tls officer
     send o request 1 lookup 3000 SELECT 1
     expect a REQ
     send a data parts=1 ok\n
     expect o served 1 ok\n
-    wait 2100
+    wait 5100
     send o request 2 lookup 3000 SELECT 1
     expect o denied 2 revocation_unknown
     client late tls officer
@@ -513,10 +513,11 @@
     publish k
     tls mysql
     start
-    token short k student {"exp":"+1"}
+    token short k student {"exp":"+3"}
     mysql m tls s-1 as short in sales_17
-    send m query SELECT sleep_1500 rows_1 FROM orders
-    wait 1200
+    wait 1500
+    send m query SELECT sleep_2000 rows_1 FROM orders
+    wait 1700
     expect m rows 1
     send m query SELECT rows_1 FROM orders
     expect m error 1045 expired
