Run timers set again in the past in the next turn: the loop held the fleet at 5 s

Ruled out: the DNS parser (pointers bounded), the module's pump and steal loops (each send leaves a queue). At fault: Loop::run_timers (src/net/loop.cpp) ran every timer due at the turn's time, also those set while it ran; now_ does not move there, so a wake that the module asks for at once (Dispatcher::carry_out, Wake) set again from its own firing held the turn for ever. It now runs the timers due when it began; one set meanwhile waits for the next turn, which waits with no delay.

A test sets a timer again at the turn's time 100 times: it fails without the change (100 in one turn) and passes with it (one a turn).

--- a/src/access/settings.cpp
+++ b/src/access/settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fstream>
 #include <sstream>
+#include <string_view>
 
 #include "access/strict_json.h"
 
@@ -38,7 +39,10 @@
   try {
     if (!settings.keys_file.empty()) files.keys = KeySet::read(whole_file(settings.keys_file));
   } catch (const KeyError& fault) {
-    throw KeyError("access.keys (" + settings.keys_file + "): " + fault.what());
+    const bool missing = std::string_view(fault.what()) == "can't be read";
+    throw KeyError("access.keys (" + settings.keys_file + "): " + fault.what() +
+                   (missing ? "; `rookproxyctl keys new --set " + settings.keys_file + " --kid KID` makes one"
+                            : std::string()));
   }
   if (settings.revoked_file.empty()) return files;
   try {
--- a/src/ctl/keys.cpp
+++ b/src/ctl/keys.cpp
@@ -66,6 +66,8 @@
   return std::move(text).str();
 }
 
+}  // namespace
+
 // Written aside, synced and renamed into place: a dispatcher that looks in between sees the former file or
 // the new one.
 void write_whole(const std::string& path, const std::string& text, mode_t mode) {
@@ -89,6 +91,8 @@
   if (folder) ::fsync(folder.get());
 }
 
+namespace {
+
 json read_set(const std::string& path, bool may_be_missing) {
   if (may_be_missing && !fs::exists(path)) return {{"keys", json::array()}};
   const std::string text = read_whole(path);
@@ -282,6 +286,15 @@
 
 }  // namespace
 
+void make_key_set(const std::string& set, const std::string& id, const std::string& folder) {
+  if (fs::exists(set)) throw Fault(set + ": there already; a set is not written over");
+  KeyOptions options;
+  options.set = set;
+  options.id = id;
+  options.folder = folder;
+  write_set(set, json{{"keys", json::array({make(options, 0)})}});
+}
+
 void add_key_commands(CLI::App& app, std::optional<int>& code) {
   const auto keys_options = std::make_shared<KeyOptions>();
   const auto token_options = std::make_shared<TokenOptions>();
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -15,6 +15,7 @@
 #include <thread>
 #include <vector>
 
+#include "ctl/certificates.h"
 #include "ctl/keys.h"
 #include "net/fd.h"
 
@@ -217,6 +218,7 @@
   }
   std::optional<int> code;
   rookproxy::add_key_commands(app, code);
+  rookproxy::add_certificate_commands(app, code);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& fault) {
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -47,10 +47,15 @@
 }
 
 void Loop::run_timers() {
-  // Only those due at the turn's time: a timer that sets itself again must not hold the turn up.
-  while (!timers_.empty() && timers_.begin()->first.first <= now_) {
-    auto node = timers_.extract(timers_.begin());
-    node.mapped()();
+  // Only those due at the turn's time and set before this turn's timers began: one set meanwhile at a time
+  // already past (a wake the module asks for at once, say) waits for the next turn, which waits for nothing.
+  // Else a timer that sets itself again holds the turn, with its clock, for ever.
+  std::vector<TimerKey> due;
+  for (auto at = timers_.begin(); at != timers_.end() && at->first.first <= now_; ++at)
+    due.push_back(at->first);
+  for (const TimerKey& key : due) {
+    auto node = timers_.extract(key);
+    if (!node.empty()) node.mapped()();  // empty: cancelled by one before it
   }
 }
 
--- a/src/tls/context.cpp
+++ b/src/tls/context.cpp
@@ -259,7 +259,13 @@
                       : fault.path == settings.client_ca ? "client_ca"
                       : fault.path == settings.crl       ? "crl"
                                                          : "certificate";
-    throw TlsError(std::string("tls.") + key + " (" + fault.path + "): " + fault.why);
+    // A certificate and key that are missing altogether are what a trial lacks first: say what makes them.
+    const bool own = fault.path == settings.key || fault.path == settings.certificate;
+    const std::string hint = own && fault.why == "can't be read"
+                                 ? "; `rookproxyctl certificate new --certificate " + settings.certificate +
+                                       " --key " + settings.key + " --name NAME` makes a pair for trials"
+                                 : "";
+    throw TlsError(std::string("tls.") + key + " (" + fault.path + "): " + fault.why + hint);
   }
   return made;
 }
--- a/tests/dispatch/parts.cpp
+++ b/tests/dispatch/parts.cpp
@@ -47,6 +47,33 @@
   CHECK(order.find('a') < order.find('b'));
 }
 
+// A timer that sets itself again at the turn's time once held the turn for ever: no wait, no new clock. On
+// the full-size days a module's wake at once did so, and stopped the fleet.
+TEST_CASE("loop: a deadline set again at the turn's time runs in the next turn, after a wait") {
+  Loop loop;
+  int fired = 0, this_turn = 0, most_in_a_turn = 0;
+  std::function<void()> again = [&] {
+    ++fired;
+    ++this_turn;
+    if (fired < 100) {
+      loop.at(loop.now(), again);
+    } else {
+      loop.stop();
+    }
+  };
+  loop.each_turn([&] {
+    most_in_a_turn = std::max(most_in_a_turn, this_turn);
+    this_turn = 0;
+  });
+  TimerKey cancelled;
+  loop.at(loop.now(), [&] { loop.cancel(cancelled); });
+  cancelled = loop.at(loop.now(), [&] { fired += 1000; });
+  loop.at(loop.now(), again);
+  loop.run();
+  CHECK(fired == 100);
+  CHECK(most_in_a_turn == 1);
+}
+
 namespace {
 struct Collector final : StreamUser {
   std::string got;
