Answer what a client asked before its unreadable frame, then end the connection

FramesConnection::broken (src/front/frames.cpp) wrote the error, ended writing and dropped the connection after a linger, whatever was still open on it; the answers of those requests then had nowhere to go. Now nothing more is read once a frame can't be read, the open requests get their answers (each by its own deadline at the latest), and then the connection ends as before.

--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -276,7 +276,10 @@
   }
 
   void rest() {
-    if (dead_) return;
+    if (dead_) {
+      if (open_.empty()) end_broken();
+      return;
+    }
     if (leaving_ != decide::Denial::kNone) {
       // Once, whatever else it sends: what crosses the word to go away is still refused by name.
       if (!open_.empty() || idle_timer_.second != 0) return;
@@ -289,13 +292,22 @@
     idle_timer_ = front_.loop_.at(front_.loop_.now() + front_.limits_.idle, [this] { front_.drop(key_); });
   }
 
+  // Nothing more is read here. What was asked before still gets its one final answer, each by its own
+  // deadline at the latest; once nothing is open the connection ends.
   void broken(std::string_view why) {
+    if (dead_) return;
     front_.log_.line(Level::kNotice, "frames", why, {});
     stream_.write(frames::make_answer(0, frames::kFailed, {}, why));
-    // Closing with bytes unread would reset the connection and could take the error with it: let it arrive
-    // first.
     dead_ = true;
     front_.loop_.cancel(frame_timer_);
+    front_.loop_.cancel(idle_timer_);
+    if (open_.empty()) end_broken();
+  }
+
+  void end_broken() {
+    if (std::exchange(ending_, true)) return;
+    // Closing with bytes unread would reset the connection and could take the error with it: let it arrive
+    // first.
     stream_.end_writing();
     front_.loop_.cancel(idle_timer_);
     idle_timer_ = front_.loop_.at(front_.loop_.now() + kLinger, [this] { front_.drop(key_); });
@@ -466,7 +478,8 @@
   std::unique_ptr<access::CertificateCaller> certificate_;  // of a connection in TLS
   std::map<std::uint32_t, SlotKey> open_;
   std::size_t skip_ = 0;
-  bool dead_ = false;
+  bool dead_ = false;    // nothing more is read
+  bool ending_ = false;  // nothing more is written
   decide::Denial leaving_ = decide::Denial::kNone;
   std::size_t reserved_ = 0;  // of the budget for large frames
   bool begun_ = false;        // a frame, that is not yet whole
--- a/tests/dispatch/scenarios.cpp
+++ b/tests/dispatch/scenarios.cpp
@@ -1096,3 +1096,18 @@
     send a data parts=1 one\n
     expect w served 1 one\n)");
 }
+
+TEST_CASE("a client that sends an unreadable frame still gets the answers to what it asked before") {
+  // Guards against a connection ended with requests open on it: their answers were lost (the full-size days).
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 lookup 3000 SELECT 1
+    expect a REQ queue=lookup
+    send c hex 000000010200000005
+    expect c error
+    send a data parts=1 ok\n
+    expect c served 1 ok\n
+    expect c closed)");
+}
