Close a broken frames connection after its linger, without shutdown: a node hung in it

Its state in /proc was 'running' in user space with no wait, and a backtrace taken by a temporary SIGUSR2 handler (not kept) put it inside shutdown(SHUT_WR), called from Stream::flush under Stream::on_ready (src/net/stream.cpp:175), for a connection that FramesConnection::end_broken had ended with Stream::end_writing. Ruled out before: every loop of a turn (step counters), past timers and repeated 'again' (address counters), a full log pipe (3 to 5 lines logged).

The frames front no longer half-closes a broken connection: it reads and drops what comes, and closes after the linger as before.

--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -307,8 +307,8 @@
   void end_broken() {
     if (std::exchange(ending_, true)) return;
     // Closing with bytes unread would reset the connection and could take the error with it: let it arrive
-    // first.
-    stream_.end_writing();
+    // first, reading and dropping what comes meanwhile. No half-close (shutdown) before: under the full-size
+    // bench that call did not return for some connections of bad clients, and the node stopped.
     front_.loop_.cancel(idle_timer_);
     idle_timer_ = front_.loop_.at(front_.loop_.now() + kLinger, [this] { front_.drop(key_); });
   }
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -826,9 +826,10 @@
     Client& client = clients_.at(name);
     if (what == "closed") return require(client.peer.at_end(), "still open");
     if (what == "nothing") {
-      return require(
-          client.peer.buffer().empty() && !client.peer.more(std::chrono::milliseconds(std::stoi(word()))),
-          "something came");
+      const bool quiet =
+          client.peer.buffer().empty() && !client.peer.more(std::chrono::milliseconds(std::stoi(word())));
+      require(quiet || client.peer.ended(), "something came");
+      return require(!client.peer.ended(), "its connection ended");
     }
     client.mysql ? expect_mysql(client, what) : expect_frame(client, what);
   }
--- a/tests/dispatch/scenarios.cpp
+++ b/tests/dispatch/scenarios.cpp
@@ -1109,5 +1109,6 @@
     expect c error
     send a data parts=1 ok\n
     expect c served 1 ok\n
+    expect c nothing 100
     expect c closed)");
 }
