Plan homes of table groups so that each gateway's traffic is even over the engines

Router::distance guessed at what all gateways send by the rank of a hash alone, so all sent a popular group to one home; own load (four threads out over 30 engines) can't tell that it is full. Ruled out: engines out of reach, resets (3 of 17,000), lists (lost answers delayed none by more than a second).

Change. src/homes.cpp: each gateway fills the engines' capacities with its own traffic, pairs of group and engine in the order of their hash, which all share; a query draws one of its group's homes. Its traffic is then even whatever its picture of it, and so is the sum. With few gateways a group stays with one home and own load tells, as before. A load draws its engine.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -8,11 +8,17 @@
 #include <numeric>
 #include <utility>
 
+#include "hash.h"
+#include "homes.h"
 #include "lemonshift/router.h"
+#include "settings_check.h"
+#include "state.h"
 
 namespace lemonshift {
 namespace {
 
+using namespace state;
+
 // ---- the mechanism ----
 constexpr double kSmoothing = 0.5;     // the paper's alpha: how much of an engine's mean a send keeps
 constexpr double kLoadFactor = 20;     // queries, all gateways', that weigh as much as one unit of distance
@@ -80,104 +86,9 @@
 // ---- memory grants over the estimate, where they are heeded: about one in seven spills ----
 constexpr double kGrantStart = 1.25, kGrantUp = 0.05, kGrantDown = 0.008, kGrantLeast = 1, kGrantMost = 4;
 
-constexpr Time kNever = std::numeric_limits<Time>::max();
 constexpr std::uint64_t kTickToken = 1, kAskToken = 2, kFirstRequestToken = 8;
 
-std::uint64_t mix(std::uint64_t x) {  // splitmix64: a stable hash, the same in every process
-  x += 0x9e3779b97f4a7c15ULL;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
 double octaves(double value) { return std::log2(std::max(1e-6, value * 1e6)); }  // worth per second of work
-double unit(std::uint64_t hash) { return static_cast<double>(hash >> 11) * 0x1p-53; }  // 0 to 1
-
-std::uint64_t hash_text(const std::string& text) {  // FNV-1a
-  std::uint64_t hash = 0xcbf29ce484222325ULL;
-  for (const unsigned char c : text) hash = (hash ^ c) * 0x100000001b3ULL;
-  return mix(hash);
-}
-
-struct Engine;
-
-struct Attempt {
-  Engine* at = nullptr;  // kept while the attempt is out
-  EngineId engine = 0;
-  std::uint32_t zone = 0, cell = 0;
-  Time sent = 0, heard = 0;  // heard: sent or last spoken of
-  int level = 0;             // priority it was sent with
-  double memory = 0;         // granted, MB
-  bool out = true, cancelled = false, spilled = false;
-  bool may_have_run = true;  // until an outcome proves the contrary
-  bool waits = false;        // in the engine's line for memory, said once
-  bool cold = false;         // its engine was cold: rationed there, not by the sum
-  bool silent = false;       // taken for lost: no longer counted in the window
-  bool doubted = false;      // ended in an error that may be the request's own fault
-};
-
-struct Request {
-  RequestId id = 0;
-  ClassIndex cls = 0;
-  std::uint64_t key = 0, group = 0;
-  Time arrived = 0, give_up_at = 0, aim_at = 0;
-  std::optional<double> memory_mb;
-  double work = 0, worth = 1;       // corrected estimate, microseconds of one thread
-  double earns = 0;                 // worth per second of work, in octaves
-  Time look_until = 0;              // probes are out for it
-  Engine* queue = nullptr;          // where it waits
-  bool over = false, told = false;  // told: its work was estimated
-  int out = 0;
-  std::vector<Attempt> attempts;
-};
-
-struct Group {  // what an engine has to do with one table group
-  std::uint64_t name = 0;
-  double mean = 0;
-  int readers = 0, loads = 0;  // own attempts out
-  Time held_until = 0;         // a load, perhaps another gateway's, was seen to hold it
-};
-
-struct Engine {
-  EngineEntry told;
-  bool known = false;
-  std::uint64_t list = 0, hash = 0;  // the last list that named it; of its name
-  double cores = 1, memory = 0;      // what it has; memory in MB, 0: not told
-  double granted = 0;                // of it, to own attempts out
-  std::vector<Group> groups;
-  double norm2 = 0, sends = 0;  // squared length of the mean; sends since it was empty
-  std::vector<Request*> queue;
-  int running = 0, out = 0;             // own attempts out; with those taken for lost
-  double threads[4] = {0, 0, 0, 0};     // of own attempts, by priority
-  double open = 1;                      // its window's present share of the start
-  double reported = 0, sent_since = 0;  // queries there by its last report; own sends since
-  Time reported_at = kNever, asked_at = -kReportFresh;
-  double over = 1;      // memory granted there by that report, in times of what it has, where that slows all
-  Time cold_since = 0;  // start, or the last time it did not answer; 0: long ago
-  std::deque<std::pair<Time, double>> cold_sent;
-  int failures = 0;  // in a row
-  double bad = 0;    // share of late answers that were errors, recent ones most
-  double pace = 1;   // latency over what the class usually takes
-  Time shut_until = 0, paced_at = 0, lost_at = -1, served_at = -1;
-};
-
-struct ClassState {
-  double mean_work = 0, bias = 1;  // of one request, corrected; true work over estimate
-  double stretch = 1.5;            // latency over work per thread
-  double grant = kGrantStart;      // memory granted over the estimate
-  double note_pace = 1;            // progress made per expected progress, from notes
-  Time patience = 0;               // of its clients, the longest of late
-};
-
-struct Tenant {
-  double saved = 0;  // queries
-  Time at = 0;
-  double seen = 0;  // lately
-};
-
-struct KeyLine {
-  std::deque<Request*> line;
-  Time rest_until = 0;
-};
 
 }  // namespace
 
@@ -210,25 +121,9 @@
     share_out();
   }
 
-  static Settings checked(Settings s) {
-    const auto refuse = [](const char* name) { throw BadSettings(std::string("setting ") + name); };
-    if (s.routers == 0) refuse("routers: none");
-    if (s.ordinal >= s.routers) refuse("ordinal: not below routers");
-    if (s.classes.empty()) refuse("classes: none");
-    if (s.max_attempts == 0) refuse("max_attempts: none");
-    if (s.cold && !(s.cold->from > 0 && s.cold->from <= 1)) refuse("cold.from: not a share");
-    if (s.cold && s.cold->span <= 0) refuse("cold.span: not a time");
-    if (s.attempt_budget && s.attempt_budget->window <= 0) refuse("attempt_budget.window: not a time");
-    for (const auto& c : s.classes) {
-      if (c.threads < 1) refuse("class.threads: none");
-      if (c.worth < 0) refuse("class.worth: negative");
-      if (c.effect != Effect::kKeyed && c.repeat_window) refuse("class.repeat_window: class is not keyed");
-      if (c.max_attempts == 0U) refuse("class.max_attempts: none");
-    }
-    return s;
-  }
   static ClassState untried(const ClassSettings& c) {
-    return {.mean_work = std::max(1000.0, static_cast<double>(c.aim)) / kAimOverRun * c.threads};
+    return {.mean_work = std::max(1000.0, static_cast<double>(c.aim)) / kAimOverRun * c.threads,
+            .grant = kGrantStart};
   }
   void share_out() {
     gateways_ = s_.routers, tenant_share_ = 1 / gateways_;
@@ -293,10 +188,12 @@
     return found == e.groups.end() ? e.groups.emplace_back(Group{name}) : *found;
   }
 
-  // The mean is over all gateways' sends, of which we see a few. The unseen part is an agreed guess, by rank
-  // of a hash: each group has a first home, a second and so on, the same for every gateway.
-  double distance(const Engine& e, double own_mean, double hashed) const {
-    const double agreed = 1 / (1 + hashed * serving_);
+  // The mean is over all gateways' sends, of which we see a few. The unseen part is a guess that all agree
+  // on: the homes planned for the group, of which a query draws one, as if the group were cut in parts that
+  // have one home each. A load keeps off its readers' homes, and draws an engine by itself, or all gateways'
+  // loads of a group would meet where the hash has it last.
+  double distance(const Engine& e, const Request& r, double own_mean) const {
+    const double agreed = e.told.id == r.home ? 1 : homes_.part(e.told.id, r.group) / 2;
     const double mean = own_part_ * own_mean + (1 - own_part_) * agreed;
     const double norm2 = own_part_ * e.norm2 + (1 - own_part_) * kAgreedNorm;
     return std::sqrt(std::max(0.0, norm2 - 2 * mean + 1));
@@ -369,10 +266,13 @@
   double score(const Engine& e, const Request& r) const {
     const auto& c = cls(r);
     const Group g = seen(e, r.group);
-    const double hashed = unit(mix(e.hash ^ mix(r.group + 1)));
-    // A load goes where its group's readers are not, so its distance counts the other way round.
-    const double near = distance(e, g.mean, hashed) + kTilt * own_part_ * hashed;
-    double sum = (c.is_load ? -near : near) + load(e) / kLoadFactor;
+    const double near = distance(e, r, g.mean);
+    // A load goes where its group's readers are not, so its distance counts the other way round; of the many
+    // that are none's home each draws another, or all gateways' loads of a group would meet at one.
+    const double drawn = unit(mix(e.hash ^ r.id));
+    const double agreed = unit(mix(e.hash ^ mix(r.group + 1)));
+    double sum = load(e) / kLoadFactor + kTilt * own_part_ * agreed * (c.is_load ? -1 : 1);
+    sum += c.is_load ? (1 - own_part_) * drawn - near : near;
     if (e.told.zone != s_.zone) sum += kPrice * s_.crossing_price;
     if (down(e)) {
       // Shut engines are tried with one safe query at a time, or they would never be known to be well again.
@@ -731,7 +631,24 @@
 
   double slowness(const Engine& e) const { return e.pace / std::max(0.2, median_pace_); }
 
+  // Few gateways each stay with one home, and their own load tells when another is due; of many, nobody's
+  // load tells, so their queries are dealt out over all homes.
+  double draw(const Request& r) const {
+    const double stays = unit(mix(mix(s_.ordinal) ^ r.group)), dealt = unit(mix(mix(s_.ordinal) ^ mix(r.id)));
+    const double sum = stays + (1 - own_part_) * dealt;
+    return sum - std::floor(sum);
+  }
+
+  void plan_homes() {
+    std::vector<Homes::Room> rooms;
+    for (const auto& [id, e] : engines_) {
+      if (serves(e)) rooms.push_back({id, e.hash, e.cores * capacity_share(e)});
+    }
+    homes_.plan(rooms, now_);
+  }
+
   void look_over_fleet() {
+    if (homes_.stale(now_)) plan_homes();
     std::vector<double> paces;
     double cores = 0, warm = 0, own = 0;
     std::size_t bad = 0;
@@ -815,6 +732,7 @@
     std::erase_if(engines_, [this](auto& one) {  // a cold one's budget is remembered
       return one.second.told.state == EngineState::kGone && one.second.out == 0 && !is_cold(one.second);
     });
+    plan_homes();
     look_over_fleet();
   }
 
@@ -853,6 +771,9 @@
     }
     if (c.ordered && r.key != 0) keys_[r.key].line.push_back(&r);
     actions_->push_back(Wake{r.give_up_at, kFirstRequestToken + r.id});
+    homes_.ask(r.group, classes_[r.cls].mean_work, now_);
+    if (homes_.lacks(r.group, now_)) plan_homes();
+    r.home = c.is_load ? kNoHome : homes_.draw(r.group, draw(r));
     shed(r);  // a client's late further try may have no time left
     if (!r.over) place(r);
   }
@@ -1107,6 +1028,7 @@
   std::vector<Action>* actions_ = nullptr;
   std::map<EngineId, Engine> engines_;
   std::map<RequestId, Request> requests_;
+  Homes homes_;
   std::vector<ClassState> classes_;
   std::map<std::uint32_t, Tenant> tenants_;
   double gateways_ = 1, tenant_share_ = 1;  // like us that would carry all; our part of a tenant's quota
