Let a query into a small sum of windows only if half of its threads fit

A probe of each gateway's sum showed 4.2 to 4.8 threads out on average for a sum of 1.9, of which lookups had 0.5: sum_has_room let a report of two threads go while less than the sum was out, so a sum of two threads held four, at all 100 gateways. Ruled out: cold engines (1 to 7 threads each, by their turns), the room for chance (mean in use above the sum at most gateways then).

Where chance gives no room, a query is sent if the sum would hold it at least by half. A test runs 60 modules side by side: 2.5 threads a core before, 1.5 after, bound 2.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -510,12 +510,13 @@
   // little for what it takes waits at a fuller sum: by so much of the present work that earns more.
   // The room for chance is there only while the mean over some seconds is within the sum: what lasts is no
   // chance, and all gateways have it at once. 100 that each kept it filled held 8 threads a core. So it is
-  // where the sum is under one query, too. Could harm a lone heavy query, which then waits.
-  bool sum_has_room(int priority, double part) const {
+  // where the sum is under one query, too. Else a query fits if half of it does, or sums of two threads held
+  // four. Could harm a lone heavy query, which then waits.
+  bool sum_has_room(int priority, double part, int threads) const {
     const double total = std::accumulate(threads_ + priority, threads_ + 4, 0.0);
     const double mean = part * open_ * window_, most = mean + part * open_ * kBurst * std::sqrt(2 * window_);
     const bool chance = std::accumulate(used_ + priority, used_ + 4, 0.0) < mean;
-    return total < (chance ? most : mean) && (chance || total > 0);
+    return chance ? total < most : total > 0 && total + threads / 2.0 < mean;
   }
 
   // Where engines let in more than their memory holds, all on them slow down together. Reports of it come too
@@ -530,8 +531,9 @@
     const double steep = kSteep / std::max(0.1, earns_spread_);
     const double part = 1 - kHeldBack / (1 + std::exp2(steep * (octaves(value(r)) - earns_)));
     const int priority = level(r);
-    return has_room(e, priority) && memory_room(e, r) && (is_cold(e) || sum_has_room(priority, part)) &&
-           attempt_allowed(r, r.out) && allowed(e, r) && key_free(r) && cold_allows(e, r);
+    return has_room(e, priority) && memory_room(e, r) &&
+           (is_cold(e) || sum_has_room(priority, part, cls(r).threads)) && attempt_allowed(r, r.out) &&
+           allowed(e, r) && key_free(r) && cold_allows(e, r);
   }
 
   // What an answer still earns: work past its aim takes no room from work that can meet it, whatever made it
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -987,12 +987,13 @@
 // All gateways of a fleet side by side, each with more queries than it may send; every one takes 400 ms. What
 // is out on `engines` a core, on average from `from` on, all gateways together.
 double held_a_core(std::uint32_t gateways, const std::vector<EngineEntry>& list,
-                   const std::vector<EngineEntry>& engines, Time from, Time until) {
+                   const std::vector<EngineEntry>& engines, Time from, Time until, int threads = 1) {
   constexpr Time kStep = 100'000, kTakes = 400'000;
   double held = 0, samples = 0;
   for (std::uint32_t i = 0; i < gateways; ++i) {
     auto settings = many(gateways, i);
     settings.cold = ColdStart{0.3, 15 * kSecond, 3, 1'500'000};
+    settings.classes[0].threads = threads;
     Script s(settings);
     s.at(0, {EngineList{ListKind::kWhole, list}});
     std::map<RequestId, Send> out;
@@ -1021,7 +1022,7 @@
       }
     }
   }
-  return held / samples / (8 * static_cast<double>(engines.size()));
+  return threads * held / samples / (8 * static_cast<double>(engines.size()));
 }
 
 TEST(Many, RoomForChanceDoesNotLastOrAllGatewaysHoldItAtOnce) {
@@ -1031,6 +1032,11 @@
   EXPECT_GT(held, 1.2);
 }
 
+TEST(Many, WideQueriesDoNotOvershootASumOfFewThreads) {
+  const auto engines = fleet(12);
+  EXPECT_LT(held_a_core(60, engines, engines, 10 * kSecond, 14 * kSecond, 2), 2);  // was 2.5, of two
+}
+
 TEST(Many, ColdEnginesStandOutsideTheSumAndTakeTheirTurnsWhileItIsFull) {
   auto list = fleet(30);
   for (std::size_t i = 12; i < list.size(); ++i) list[i].started = 1;
