--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -15,6 +15,7 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "confine.h"
 #include "front/frames.h"
 #include "link/lines.h"
 #include "standins/callers.h"
@@ -70,7 +71,8 @@
 // The dispatcher's process; its log goes to a file that is read back.
 class Process {
  public:
-  void start(const std::string& folder, const std::string& log_path, const std::vector<Fd>& passed) {
+  void start(const std::string& folder, const std::string& log_path, const std::vector<Fd>& passed,
+             bool confined) {
     log_path_ = log_path;
     pid_ = ::fork();
     if (pid_ == 0) {
@@ -81,6 +83,7 @@
       for (const Fd& one : passed) apart.emplace_back(::fcntl(one.get(), F_DUPFD_CLOEXEC, 64));
       for (std::size_t i = 0; i < apart.size(); ++i) ::dup2(apart[i].get(), static_cast<int>(3 + i));
       if (!std::freopen(log_path.c_str(), "w", stderr)) ::_exit(99);
+      if (confined && !confine()) ::_exit(98);
       ::execl(ROOKPROXY_BINARY, "rookproxy", nullptr);
       ::_exit(99);
     }
@@ -211,6 +214,7 @@
       answer_ = call_operators(old ? old_ : process_, text.substr(old ? 4 : 0));
       return;
     }
+    if (verb == "confine") return void(confined_ = true);
     if (verb == "pass") {
       const auto pass = [this](json& listen) {
         passed_.push_back(listen_anywhere());
@@ -449,7 +453,7 @@
 
   void start() {
     configure("");
-    process_.start(folder_, folder_ + "/log" + std::to_string(++starts_), passed_);
+    process_.start(folder_, folder_ + "/log" + std::to_string(++starts_), passed_, confined_);
     process_.wait_for("ready to serve");
     frames_port_ = static_cast<std::uint16_t>(std::stoi(process_.wait_for("start [rookproxy@32473 port=\"")));
     if (!mysql_engines_.empty()) {
@@ -870,6 +874,7 @@
   std::vector<Peer> held_;
   std::string answer_;
   std::vector<Fd> passed_;
+  bool confined_ = false;
   Process old_, process_;
   int starts_ = 0;
   std::uint16_t frames_port_ = 0, mysql_port_ = 0;
--- a/tests/dispatch/scenario.h
+++ b/tests/dispatch/scenario.h
@@ -6,6 +6,7 @@
 //   lines-engines A B ...           engines that speak lines and answer at once by themselves (LinesEngine)
 //   rotate under load from N        the keys old and new change places while N connections ask; nobody valid is refused
 //   set /a/b VALUE                  a key of the configuration (JSON pointer and value), before start or configure
+//   confine                         before start: under what the platform refuses (confine.h)
 //   start                           the dispatcher; waits until it serves
 //   configure [TEXT]                writes the configuration anew, as it stands or as that text
 //   signal TERM|HUP|KILL|STOP|CONT  to the dispatcher
