Let the sum of windows grow on where it binds and answers still come in time

A probe counted each dispatcher's traffic and outcomes: 33 carry 2.5 to 3 times the mean and lost 28% of their reports (1,226 of 4,331 refused, 10.7 s of waiting at the 90th percentile), the other 297 under 0.4%. Their sums stood at 1.2 times the even part, where move_sum stops, while all but 1% of answers came in time. Ruled out: engines at their end (4 threads a dispatcher of 5.2), 'full' (20), resets (0).

While the sum holds queries back and under one answer in twenty is late it grows on, to four times the even part; late answers narrow it as before. Test: a gateway asked for three times its part holds 4 to 5 queries before, over 9 after, under 7 when a third of its light answers is late. The tests that run many modules side by side now tick them and let nothing be learnt, so that the sum stays where it starts.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -32,6 +32,9 @@
 constexpr double kSumUp = 0.014, kSumDown = 0.9;         // the sum of all, added or kept: 14% late in balance
 constexpr double kSumLine = 0.95;  // kept of it for a query in an engine's line for memory
 constexpr double kSumLeast = 0.1, kSumMost = 1.2, kBurst = 2;  // with room for chance: square roots of it
+constexpr double kSumBound = 4;          // ... where it binds, for who carries several times the mean
+constexpr double kSumLate = 0.05;        // ... and fewer answers than this are late
+constexpr Time kBoundSpan = 1'000'000;   // held back this lately
 constexpr double kMemoryPart = 1;        // of an engine's memory that all gateways' grants may take
 constexpr double kMemoryOver = 1.2;      // granted by its report, in times of it: it takes nothing now
 constexpr double kUsedSpan = 5'000'000;  // of the mean of use that may not pass a sum under one query
@@ -512,11 +515,13 @@
   // chance, and all gateways have it at once. 100 that each kept it filled held 8 threads a core. So it is
   // where the sum is under one query, too. Else a query fits if half of it does, or sums of two threads held
   // four. Could harm a lone heavy query, which then waits.
-  bool sum_has_room(int priority, double part, int threads) const {
+  bool sum_has_room(int priority, double part, int threads) {
     const double total = std::accumulate(threads_ + priority, threads_ + 4, 0.0);
     const double mean = part * open_ * window_, most = mean + part * open_ * kBurst * std::sqrt(2 * window_);
     const bool chance = std::accumulate(used_ + priority, used_ + 4, 0.0) < mean;
-    return chance ? total < most : total > 0 && total + threads / 2.0 < mean;
+    const bool room = chance ? total < most : total > 0 && total + threads / 2.0 < mean;
+    if (!room) bound_at_ = now_;
+    return room;
   }
 
   // Where engines let in more than their memory holds, all on them slow down together. Reports of it come too
@@ -527,7 +532,7 @@
     return e.granted + grant(r) <= kMemoryPart * e.memory / gateways_;
   }
 
-  bool may_start(Engine& e, const Request& r) const {  // the gate as a whole: no send but through here
+  bool may_start(Engine& e, const Request& r) {  // the gate as a whole: no send but through here
     const double steep = kSteep / std::max(0.1, earns_spread_);
     const double part = 1 - kHeldBack / (1 + std::exp2(steep * (octaves(value(r)) - earns_)));
     const int priority = level(r);
@@ -919,7 +924,12 @@
 
   void move_sum(double to) {
     const double least = std::max(kSumLeast, kWindowMost * window_ / (window_ + kSumWide * serving_));
-    open_ = std::clamp(to, least, std::max(kSumMost, least));
+    // A gateway that carries several times the others' traffic has a part too small. It grows on while it is
+    // what holds queries back and nearly all answers come in time all the same.
+    late_ += kLearn * ((to < open_) - late_);
+    const double most =
+        now_ - bound_at_ < kBoundSpan && late_ < kSumLate ? kSumBound : std::max(kSumMost, open_);
+    open_ = std::clamp(to, least, std::max(most, least));
   }
 
   void on(const AttemptNote& note) {
@@ -1047,7 +1057,8 @@
   double threads_[4] = {0, 0, 0, 0};  // of own attempts out, by priority
   double window_ = 1, open_ = 1;      // for the sum of them; its present share of the start
   double used_[4] = {0, 0, 0, 0};     // threads of own attempts out, recent mean
-  Time used_at_ = 0;
+  double late_ = 0;                   // share of answers that were
+  Time used_at_ = 0, bound_at_ = -kBoundSpan;
   double mean_own_ = 0.1;  // own queries at an engine, on average
   double serving_ = 1;     // engines
   double mean_cores_ = 1, mean_threads_ = 1, mean_run_ = 0;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -984,8 +984,9 @@
   EXPECT_LE(s.sends().size(), 14u);
 }
 
-// All gateways of a fleet side by side, each with more queries than it may send; every one takes 400 ms. What
-// is out on `engines` a core, on average from `from` on, all gateways together.
+// All gateways of a fleet side by side, each with more queries than it may send; every one ends after 400 ms
+// without a word of how the engines do, so the sum stays as it starts. What is out on `engines` a core, on
+// average from `from` on, all gateways together.
 double held_a_core(std::uint32_t gateways, const std::vector<EngineEntry>& list,
                    const std::vector<EngineEntry>& engines, Time from, Time until, int threads = 1) {
   constexpr Time kStep = 100'000, kTakes = 400'000;
@@ -1000,7 +1001,7 @@
     std::map<RequestId, Time> since;
     RequestId id = 0;
     for (Time t = 1; t < until; t += kStep) {
-      std::vector<Event> events;
+      std::vector<Event> events = {TimerFired{1}};
       for (int k = 0; k < 2; ++k) {
         ++id;
         auto q = query(id, id * 2654435761u % 97);
@@ -1008,7 +1009,10 @@
         events.push_back(q);
       }
       for (const auto& [request, send] : out) {
-        if (t - since[request] >= kTakes) events.push_back(ended(request, 0, send.engine, Outcome::kServed));
+        if (t - since[request] < kTakes) continue;
+        auto gone = ended(request, 0, send.engine, Outcome::kCancelled);
+        gone.over = true;
+        events.push_back(gone);
       }
       for (const auto& event : events) {
         if (const auto* end = std::get_if<AttemptEnded>(&event)) out.erase(end->request);
@@ -1037,6 +1041,48 @@
   EXPECT_LT(held_a_core(60, engines, engines, 10 * kSecond, 14 * kSecond, 2), 2);  // was 2.5, of two
 }
 
+// One gateway of 100 that is asked for three times what its even part holds, half of it in light queries;
+// every `late`th answer is late. The threads that it has out after 20 s, on average.
+double held_by_a_busy_one(int late) {
+  auto settings = many(100);
+  settings.classes[0].aim = kSecond;
+  settings.classes.push_back(settings.classes[0]);
+  settings.classes[1].name = "heavy", settings.classes[1].aim = 15 * kSecond, settings.classes[1].worth = 20;
+  Script s(settings);
+  s.at(0, {EngineList{ListKind::kWhole, fleet(30)}});
+  std::map<RequestId, std::pair<EngineId, Time>> out;  // where, and when it is done
+  double held = 0, samples = 0;
+  RequestId id = 0;
+  for (Time t = 1; t < 14 * kSecond; t += 50'000) {
+    std::vector<Event> events = {TimerFired{1}};
+    for (const auto& [request, one] : out) {
+      if (t >= one.second) events.push_back(ended(request, 0, one.first, Outcome::kServed));
+    }
+    for (const auto& event : events) {
+      if (const auto* end = std::get_if<AttemptEnded>(&event)) out.erase(end->request);
+    }
+    for (const bool heavy : {false, true}) {
+      ++id;
+      auto q = query(id, id % 9, heavy ? 400'000 : 20'000);
+      q.cls = heavy;
+      q.give_up_at = t + 20 * kSecond;
+      events.push_back(q);
+    }
+    s.at(t, events);
+    for (const auto& one : s.sends()) {
+      const bool is_late = late > 0 && one.request % static_cast<RequestId>(late) == 1;
+      out[one.request] = {one.engine, t + (is_late ? 1'200'000 : one.request % 2 == 1 ? 50'000 : 600'000)};
+    }
+    if (t > 10 * kSecond) held += static_cast<double>(out.size()), ++samples;
+  }
+  return held / samples;
+}
+
+TEST(Many, WhoCarriesMuchGrowsBeyondItsPartWhileAnswersComeInTime) {
+  EXPECT_GT(held_by_a_busy_one(0), 9);  // of 13 asked for; its even part is 4.8
+  EXPECT_LT(held_by_a_busy_one(6), 7);  // a third of the light answers is late: engines are at their end
+}
+
 TEST(Many, ColdEnginesStandOutsideTheSumAndTakeTheirTurnsWhileItIsFull) {
   auto list = fleet(30);
   for (std::size_t i = 12; i < list.size(); ++i) list[i].started = 1;
