--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/interfaces.h"
+#include "decide/asking.h"
 #include "directory/dns.h"
 #include "log/log.h"
 #include "net/loop.h"
@@ -36,7 +37,7 @@
   Log& log_;
   Endpoint server_;
   std::string service_;
-  Duration poll_;
+  decide::AskingTimes times_;
   std::uint32_t serial_;
   std::mt19937_64 random_;
   Told told_;
