Put the module's other files in src/logic

Need. homes, state, hashes and the check of settings lay beside programs in src; folders are concerns here. No line of code is another.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -8,11 +8,11 @@
 #include <numeric>
 #include <utility>
 
-#include "hash.h"
-#include "homes.h"
 #include "lemonshift/router.h"
-#include "settings_check.h"
-#include "state.h"
+#include "logic/hash.h"
+#include "logic/homes.h"
+#include "logic/settings_check.h"
+#include "logic/state.h"
 
 namespace lemonshift {
 namespace {
--- a/src/homes.cpp
+++ b/src/logic/homes.cpp
@@ -1,11 +1,11 @@
 // Decides the homes of groups; see homes.h.
-#include "homes.h"
+#include "logic/homes.h"
 
 #include <algorithm>
 #include <cmath>
 #include <tuple>
 
-#include "hash.h"
+#include "logic/hash.h"
 
 namespace lemonshift {
 namespace {
--- a/src/settings_check.cpp
+++ b/src/logic/settings_check.cpp
@@ -1,4 +1,4 @@
-#include "settings_check.h"
+#include "logic/settings_check.h"
 
 #include <string>
 
--- a/tests/homes_test.cpp
+++ b/tests/homes_test.cpp
@@ -1,12 +1,12 @@
 // Homes of table groups: even for each gateway's own traffic, and nearly the same at all.
-#include "homes.h"
+#include "logic/homes.h"
 
 #include <gtest/gtest.h>
 
 #include <cmath>
 #include <map>
 
-#include "hash.h"
+#include "logic/hash.h"
 
 namespace lemonshift {
 namespace {
