Answer what comes behind half a frame or a broken one; let the module decide after a stall

What can leave a request without a word was looked for in the front and the core; two such places, and one where the guard spoke in the module's place: - FramesFront::wait_for_frame: half a frame for 2.6 s, with requests open, made the connection deaf (broken()): the rest of the frame and all that was asked behind it was dropped unheard for as long as something was open there, 25 s for a report. A network cut of some seconds does that to a good client. The module has its say first. Tests: two scenarios and one of the core, each failing without its change.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -135,7 +135,11 @@
     return key;
   }
   // The last guard: whatever the module does, the client has its answer before it gives up.
+  // After a stall its timer and the module's own come up in one turn: the module has its say first.
   requests_.find(key)->guard = loop_.at(kept.give_up_at + limits_.answer_margin / 2, [this, key] {
+    settle();
+    const Request* open = requests_.find(key);
+    if (!open || open->over) return;
     log_.line(Level::kWarning, "core", "deadline passed without a decision", {});
     finish(key, {Verdict::kFailed, "", std::nullopt, Cause::kDeadline, ""});
     push(lemonshift::RequestDropped{key});
--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -153,7 +153,7 @@
   }
 
   std::size_t on_bytes(std::string_view bytes) override {
-    if (dead_) return bytes.size();
+    if (unframed_) return bytes.size();
     heard_at_ = front_.loop_.now();
     if (skip_ > 0) {
       const std::size_t skipped = std::min(skip_, bytes.size());
@@ -166,10 +166,12 @@
       case frames::Parse::kMore:
         return begin(bytes);
       case frames::Parse::kBroken:
+        unframed_ = true;
         broken("unreadable frame");
         return bytes.size();
       case frames::Parse::kOversized:
         if (frame.type != frames::kRequest || frame.stream == 0 || open_.contains(frame.stream)) {
+          unframed_ = true;
           broken("oversized frame");
           return bytes.size();
         }
@@ -238,6 +240,7 @@
   // A frame has begun. It may take up its length only while the budget for large ones lasts, and only for so
   // long.
   std::size_t begin(std::string_view bytes) {
+    if (dead_) return 0;  // its time is set
     if (!std::exchange(begun_, true)) wait_for_frame(front_.limits_.patience);
     if (bytes.size() < frames::kHeader || reserved_ > 0) return 0;
     frames::Frame head;
@@ -249,6 +252,7 @@
       return 0;
     }
     if (head.type != frames::kRequest || head.stream == 0 || open_.contains(head.stream)) {
+      unframed_ = true;
       broken("no room for a frame so large");
       return bytes.size();
     }
@@ -257,12 +261,14 @@
     return on_bytes(bytes);
   }
 
-  // Silence is no request, and half a frame neither: they hold descriptors that others need.
+  // Silence is no request, and half a frame neither: they hold descriptors that others need. Where requests
+  // are open the connection stays for them in any case, so the rest of the frame may still come, as it does
+  // behind a network that was cut for some seconds: it is a request like any other then.
   void wait_for_frame(Duration span) {
     front_.loop_.cancel(frame_timer_);
     frame_timer_ = front_.loop_.at(front_.loop_.now() + span, [this] {
       if (open_.empty()) return front_.drop(key_);
-      broken("a frame that did not end");
+      wait_for_frame(front_.limits_.patience);
     });
   }
 
@@ -292,8 +298,9 @@
     idle_timer_ = front_.loop_.at(front_.loop_.now() + front_.limits_.idle, [this] { front_.drop(key_); });
   }
 
-  // Nothing more is read here. What was asked before still gets its one final answer, each by its own
-  // deadline at the latest; once nothing is open the connection ends.
+  // Nothing more is taken here. What was asked before still gets its one final answer, each by its own
+  // deadline at the latest; once nothing is open the connection ends. A client that goes on asking meanwhile
+  // is refused at once, as long as its frames can be told apart: what is dropped unheard is lost.
   void broken(std::string_view why) {
     if (dead_) return;
     front_.log_.line(Level::kNotice, "frames", why, {});
@@ -319,6 +326,10 @@
   }
 
   void take(const frames::Frame& frame) {
+    if (dead_) {
+      if (frame.type != frames::kRequest || frame.stream == 0 || open_.contains(frame.stream)) return;
+      return answer(frame.stream, frames::kRefused, {{"pushback", "0"}}, "this connection ends");
+    }
     switch (frame.type) {
       case frames::kRequest:
         if (frame.stream == 0 || open_.contains(frame.stream)) return broken("request on a stream in use");
@@ -478,8 +489,9 @@
   std::unique_ptr<access::CertificateCaller> certificate_;  // of a connection in TLS
   std::map<std::uint32_t, SlotKey> open_;
   std::size_t skip_ = 0;
-  bool dead_ = false;    // nothing more is read
-  bool ending_ = false;  // nothing more is written
+  bool dead_ = false;      // nothing more is taken
+  bool unframed_ = false;  // nor read: where a frame begins is not known any more
+  bool ending_ = false;    // nothing more is written
   decide::Denial leaving_ = decide::Denial::kNone;
   std::size_t reserved_ = 0;  // of the budget for large frames
   bool begun_ = false;        // a frame, that is not yet whole
--- a/tests/dispatch/parts.cpp
+++ b/tests/dispatch/parts.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <thread>
 
 #include "config/config.h"
 #include "core/dispatcher.h"
@@ -376,6 +377,18 @@
   CHECK(bench.orders.size() == 2);
 }
 
+TEST_CASE("core: after a stall past a deadline the module decides, not the guard below it") {
+  // Guards against the guard answering in the module's place when both come up in one turn.
+  CoreBench bench;
+  bench.list({{"a", kUp}});
+  bench.ask("lookup", 300ms);
+  REQUIRE(bench.orders.size() == 1);
+  bench.loop.at(bench.loop.now(), [] { std::this_thread::sleep_for(400ms); });
+  CHECK(bench.run_until([&] { return !bench.answers.empty(); }));
+  CHECK(bench.answers.size() == 1);
+  CHECK(bench.text.str().find("without a decision") == std::string::npos);
+}
+
 TEST_CASE("core: one answer, whatever comes twice or late") {
   CoreBench bench;
   bench.list({{"a", kUp}});
--- a/tests/dispatch/scenarios.cpp
+++ b/tests/dispatch/scenarios.cpp
@@ -1112,3 +1112,40 @@
     expect c nothing 100
     expect c closed)");
 }
+
+TEST_CASE("the rest of a frame that comes late, behind requests that are open, is taken like any other") {
+  // Guards against a connection that went deaf after 2.6 s of half a frame: the rest, and whatever was asked
+  // behind it, was dropped unheard and lost, for as long as something was open there.
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 lookup 9000 SELECT 1
+    expect a REQ queue=lookup
+    send c begin request 2 lookup 9000 SELECT 2
+    wait 2900
+    send c finish
+    expect a REQ queue=lookup
+    send a data parts=1 two\n
+    expect c served 2 two\n
+    send c request 3 lookup 9000 SELECT 3
+    expect a REQ queue=lookup
+    send a data parts=1 three\n
+    expect c served 3 three\n)");
+}
+
+TEST_CASE("who goes on asking behind a frame that can't be used is refused at once, not left without a word") {
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 lookup 3000 SELECT 1
+    expect a REQ queue=lookup
+    send c hex 000000050900000007
+    expect c error
+    send c request 2 lookup 3000 SELECT 2
+    expect c refused 2
+    send a data parts=1 ok\n
+    expect c served 1 ok\n
+    expect c closed)");
+}
