Tell of a loop's turn that takes 100 ms or more

The log now says so, with the span, at no cost to the turn: the clock is read there anyway. Test: a turn that sleeps 60 ms is told with what it took.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -15,6 +15,9 @@
 // Statements and results may take this part of the memory; buffers, tables and the module have the rest.
 std::size_t held_share(std::size_t memory_mb) { return (memory_mb << 20) / 4; }
 
+// A turn of the loop that takes this long is told: every answer that was due in it is late by as much.
+constexpr Duration kLongTurn = std::chrono::milliseconds(100);
+
 constexpr std::size_t kMostResult = 8u << 20;  // bytes of one result from an engine that speaks MySQL
 
 // After SIGTERM new connections come for 0.4 s and requests on open ones for 0.2 s: with room to spare.
@@ -135,6 +138,10 @@
   if (siblings_) share_with_siblings();
   become_ready(loop.now() + kDirectoryWait);
   loop.each_turn([this] { core_.settle(); });
+  loop.on_long_turn(kLongTurn, [this](Duration took) {
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(took).count();
+    log_.line(Level::kWarning, "loop", "stood still", {{"ms", std::to_string(ms)}});
+  });
 }
 
 std::string App::why_not_ready() const { return draining_ ? "draining" : ready_ ? "" : "starting"; }
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -72,7 +72,9 @@
   if (!again_.empty()) {
     wait_ms = 0;
   } else if (!timers_.empty()) {
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first.first - wall_now());
+    const Time now = wall_now();
+    if (now - now_ >= long_turn_) told_(now - now_);
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first.first - now);
     wait_ms = static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, 60'000));
   }
   epoll_event events[128];
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -40,6 +40,12 @@
   void defer(Task task) { deferred_.push_back(std::move(task)); }
   // Called at the end of every turn, after the deferred work.
   void each_turn(Task task) { each_turn_ = std::move(task); }
+  // Called with what a turn took, from its wait's end to the next wait, if that was `from` or more: what was
+  // due meanwhile is late by as much, whoever is at fault (our own work, or a core that was busy elsewhere).
+  void on_long_turn(Duration from, std::function<void(Duration)> told) {
+    long_turn_ = from;
+    told_ = std::move(told);
+  }
 
   Time now() const { return now_; }
   void run();
@@ -57,6 +63,8 @@
   std::uint64_t next_timer_ = 1;
   std::vector<Task> deferred_;
   Task each_turn_;
+  Duration long_turn_ = Duration::max();
+  std::function<void(Duration)> told_;
   Time now_;
   bool stopped_ = false;
 };
--- a/tests/dispatch/parts.cpp
+++ b/tests/dispatch/parts.cpp
@@ -1,6 +1,7 @@
 // Slots, the loop, streams, log lines and configuration.
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
@@ -48,6 +49,20 @@
   CHECK(order.find('a') < order.find('b'));
 }
 
+TEST_CASE("loop: a turn that took long is told with what it took") {
+  Loop loop;
+  std::vector<Duration> told;
+  loop.on_long_turn(50ms, [&](Duration took) { told.push_back(took); });
+  loop.at(loop.now(), [] {});
+  loop.at(loop.now() + 1ms, [] { std::this_thread::sleep_for(60ms); });
+  loop.at(loop.now() + 2ms, [] {});
+  loop.at(loop.now() + 100ms, [&] { loop.stop(); });
+  loop.run();
+  REQUIRE(!told.empty());
+  CHECK(*std::max_element(told.begin(), told.end()) >= 60ms);
+  for (const Duration one : told) CHECK(one >= 50ms);
+}
+
 // A timer that sets itself again at the turn's time once held the turn for ever: no wait, no new clock. On
 // the full-size days a module's wake at once did so, and stopped the fleet.
 TEST_CASE("loop: a deadline set again at the turn's time runs in the next turn, after a wait") {
