--- a/tests/dispatch/scenarios.cpp
+++ b/tests/dispatch/scenarios.cpp
@@ -1134,7 +1134,7 @@
     expect c served 3 three\n)");
 }
 
-TEST_CASE("who goes on asking behind a frame that can't be used is refused at once, not left without a word") {
+TEST_CASE("who goes on asking behind a frame that can't be used is refused at once") {
   play(R"(
     engines a
     start
