Derive the last send to a draining engine from the directory's poll, not from 400 ms

The margin before a drain's grace was a constant of 400 ms, chosen under a grace of 2 s; under one of 1 s it took 40% of it. What it is for: the grace counts from when the directory's answer went out, and where that answer is lost we hear with the next, 1.1 polls later; a decision leaves a turn later. What waits for a connection is taken back at the limit and needs no room. So it is now 1.1 polls and 30 ms (decide/drains.h): 250 ms at the usual poll, 750 ms after the word of a grace of 1 s where it was 600. Without a directory it is 30 ms; a grace shorter than the margin allows no send after the word.

Found beside it: a request between two connections could dial an engine closed meanwhile, and a grace made shorter by SIGHUP did not hold for drains under way. Both are closed. Refusals for lack of room said 1,000 ms whatever the settings' longest advice was; they now say no more than that, and a max_retry_after of 0 is no reason not to start.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -1,5 +1,8 @@
 #include "app/app.h"
 
+#include "decide/asking.h"
+#include "decide/drains.h"
+
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
@@ -26,7 +29,7 @@
   limits.per_connection = config.multiplex;
   // Few share a spoilt connection's end; one for each request was measured to cost engines more than it
   // saved.
-  limits.spread = 6;
+  limits.spread = std::min<std::size_t>(6, config.multiplex);
   limits.dial_timeout = limits.probe_timeout = config.dial_timeout;
   limits.idle = config.keepalive / 3;
   limits.answer_time = limits.doubt = config.dial_timeout;
@@ -48,6 +51,8 @@
   limits.held_bytes = held_share(config.memory_mb);
   limits.refusal_pause = config.refusal_pause;
   limits.tick = config.tick;
+  limits.drain_margin = decide::drain_margin(
+      config.nameserver ? decide::AskingTimes(config.directory_poll).longest_pause() : Duration(0));
   return limits;
 }
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -110,7 +110,9 @@
   };
   config.keepalive = micros("keepalive", config.keepalive);
   config.dial_timeout = micros("dial_timeout", config.dial_timeout);
-  config.refusal_pause = micros("max_retry_after", config.refusal_pause);
+  // 0 stands for clients that heed no advice; they are given some for those that do.
+  const auto longest = permissions.whole_or("max_retry_after", 0, 0, 3'600'000'000);
+  if (longest > 0) config.refusal_pause = Duration(longest);
   config.multiplex = static_cast<std::size_t>(permissions.whole_or("multiplex", 32, 1, 10'000));
 }
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatcher.h"
 
 #include "core/rules.h"
+#include "decide/drains.h"
 
 #include <algorithm>
 #include <utility>
@@ -119,6 +120,9 @@
   request.arrival.give_up_at -= limits_.answer_margin;
   request.asker = &asker;
   request.ticket = ticket;
+    // The grace may be a shorter one now.
+    const bool closed = engines_[id].told.state != EngineState::kServing;
+    if (closed && loop_.now() < drain_limit(engines_[id].closed_at)) watch_drain(id);
   request.bytes = arrival.query->bytes();
   const bool no_room = held_ + request.bytes > limits_.held_bytes / parts_ || unanswered_ >= limits_.max_open;
   held_ += request.bytes;
@@ -129,7 +133,7 @@
   if (no_room) {
     // Nothing was sent, so the refusal is true. The asker gets it after this call, as any other answer.
     loop_.defer([this, key] {
-      finish(key, {Verdict::kRefused, "", std::chrono::seconds(1), Cause::kOverloaded, ""});
+      finish(key, {Verdict::kRefused, "", short_pause(), Cause::kOverloaded, ""});
       release_if_done(key);
     });
     return key;
@@ -215,7 +219,12 @@
 }
 
 void Dispatcher::close_engine(EngineId id) {
-  const Time since = engines_[id].closed_at = loop_.now();
+  engines_[id].closed_at = loop_.now();
+  watch_drain(id);
+}
+
+void Dispatcher::watch_drain(EngineId id) {
+  const Time since = engines_[id].closed_at;
   // A request that still waits for its connection then must not leave after the grace.
   loop_.at(drain_limit(since), [this, id, since] {
     const Engine& engine = engines_[id];
@@ -224,7 +233,7 @@
 }
 
 Time Dispatcher::drain_limit(Time told) const {
-  return told + span_from_module(settings_.drain_grace) - limits_.drain_margin;
+  return decide::last_send(told, span_from_module(settings_.drain_grace), limits_.drain_margin);
 }
 
 Dispatcher::Attempt* Dispatcher::attempt(AttemptKey key) {
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -2,6 +2,7 @@
 // takes no decision of its own, but for mechanical guards that keep the rules whatever the module says.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -20,8 +21,8 @@
   std::size_t max_open = 20'000;
   // Answers go out this long before the client gives up, to be there in time.
   Duration answer_margin = std::chrono::milliseconds(8);
-  // Work stops going to an engine this long before the drain's grace ends, so that its first byte is in time.
-  Duration drain_margin = std::chrono::milliseconds(400);
+  // Work stops going to an engine this long before the drain's grace ends (decide/drains.h).
+  Duration drain_margin = std::chrono::milliseconds(250);
   Duration tick =
       std::chrono::milliseconds(5);  // the simulator's time between two batches, where settings tell it
   // Told with a refusal where the module gives no advice.
@@ -36,6 +37,8 @@
              std::vector<std::string> zones, CoreLimits limits);
 
   void use(EngineLinks& links) { links_ = &links; }
+  // What a refusal for lack of room here tells: no longer than clients are ready to stay away.
+  Duration short_pause() const { return std::min<Duration>(std::chrono::seconds(1), limits_.refusal_pause); }
   // The rules of a class; its index is good until the caller returns to the loop, or as long as a request of
   // it is open.
   const lemonshift::ClassSettings& rules(lemonshift::ClassIndex cls) const { return settings_.classes[cls]; }
@@ -101,6 +104,7 @@
   void carry_out(const lemonshift::Action& action);
   void send(const lemonshift::Send& send);
   std::optional<std::string> forbidden(const Request* request, const lemonshift::Send& send) const;
+  void watch_drain(EngineId id);
   void end_attempt(RequestKey key, std::uint32_t number, AttemptEnd end);
   void call_off(RequestKey key, std::uint32_t number, Outcome outcome);
   void cancel_attempt(RequestKey key, std::uint32_t number);
--- a/src/decide/asking.h
+++ b/src/decide/asking.h
@@ -15,6 +15,7 @@
   // in the interval; later ones vary by a tenth, so that whoever falls into step falls out of it again. At
   // most 1.1 intervals: an engine's drain is heard no later for it than that.
   Duration next(double draw);
+  Duration longest_pause() const;
 
  private:
   Duration interval_;
--- /dev/null
+++ b/src/decide/drains.cpp
@@ -0,0 +1,17 @@
+#include "decide/drains.h"
+
+#include <algorithm>
+
+namespace rookproxy::decide {
+namespace {
+// A busy turn of the loop and a timer that fires late.
+constexpr Duration kTurn = std::chrono::milliseconds(30);
+}  // namespace
+
+Duration drain_margin(Duration longest_pause) { return longest_pause + kTurn; }
+
+Time last_send(Time told, Duration grace, Duration margin) {
+  return told + std::max(Duration(0), grace - margin);
+}
+
+}  // namespace rookproxy::decide
--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -98,7 +98,6 @@
 // Nobody is pushed out before what it sent with its connection could be read.
 constexpr Duration kFresh = std::chrono::milliseconds(20);
 constexpr Duration kLinger = std::chrono::milliseconds(300);
-constexpr Duration kNoRoomPause = std::chrono::seconds(1);
 constexpr std::size_t kUsualLength = 16 * 1024;  // of a frame; larger ones have to share a budget
 // Figures beyond these are no estimates: they would only mislead the module about what usual requests take.
 constexpr int kMostDeadlines = 4;                     // of its class, that a client may wait
@@ -117,6 +116,10 @@
 }
 
 std::string_view cause_text(const Answer& answer) {
+frames::Fields::value_type pushback(Duration pause) {
+  return {"pushback", std::to_string(std::chrono::ceil<std::chrono::milliseconds>(pause).count())};
+}
+
   switch (answer.cause) {
     case Cause::kDeadline:
       return "the deadline passed";
@@ -252,7 +255,8 @@
       broken("no room for a frame so large");
       return bytes.size();
     }
-    answer(head.stream, frames::kRefused, {{"pushback", "1000"}}, "no room for a frame so large");
+    answer(head.stream, frames::kRefused, {pushback(front_.core_.short_pause())},
+           "no room for a frame so large");
     skip_ = length;
     return on_bytes(bytes);
   }
@@ -385,7 +389,8 @@
     }
     if (open_.size() >= front_.limits_.most_open) {
       front_.core_.turned_away(*cls, Verdict::kRefused);
-      return answer(frame.stream, frames::kRefused, {{"pushback", "1000"}}, "too many open requests here");
+      return answer(frame.stream, frames::kRefused, {pushback(front_.core_.short_pause())},
+                    "too many open requests here");
     }
     Arrival arrival;
     auto query = std::make_shared<Query>();
@@ -423,7 +428,8 @@
     }
     const std::size_t bytes = arrival.query->bytes();
     if (front_.checking_ + bytes > front_.limits_.most_unfinished) {
-      return judge(ticket, std::move(arrival), {decide::Denial::kBusy, nullptr, kNoRoomPause, false});
+      return judge(ticket, std::move(arrival),
+                   {decide::Denial::kBusy, nullptr, front_.core_.short_pause(), false});
     }
     auto waiting = std::make_shared<Arrival>(std::move(arrival));
     // It is destroyed with its check, which ends with this connection at the latest.
@@ -465,10 +471,7 @@
     const auto known = front_.take_ticket(ticket);
     front_.core_.turned_away(arrival.cls, Verdict::kRefused, arrival.tenant);
     frames::Fields fields{{"denied", std::string(decide::denial_word(denial))}};
-    if (proof.again) {
-      const auto pause = std::chrono::ceil<std::chrono::milliseconds>(*proof.again);
-      fields["pushback"] = std::to_string(pause.count());
-    }
+    if (proof.again) fields.insert(pushback(*proof.again));
     answer(known->stream, frames::kRefused, fields, decide::denial_text(denial));
     if (proof.close) end_when_idle(denial);
   }
@@ -574,8 +577,7 @@
   if (answer.verdict == Verdict::kServed) {
     connection->answer(known->stream, frames::kServed, {}, answer.body);
   } else if (answer.verdict == Verdict::kRefused) {
-    const auto pause = std::chrono::ceil<std::chrono::milliseconds>(answer.again.value_or(Duration(0)));
-    connection->answer(known->stream, frames::kRefused, {{"pushback", std::to_string(pause.count())}},
+    connection->answer(known->stream, frames::kRefused, {pushback(answer.again.value_or(Duration(0)))},
                        cause_text(answer));
   } else {
     connection->answer(known->stream, frames::kFailed, {}, cause_text(answer));
--- a/src/link/pool.cpp
+++ b/src/link/pool.cpp
@@ -180,8 +180,12 @@
     return from.report(order.key, {Outcome::kNoConnection, std::nullopt, std::string(why)});
   }
   found->second.connection = 0;
-  loop_.defer([this, again = order, carried]() mutable {
-    if (!carried_by_.contains(again.key)) return;  // called off meanwhile
+  loop_.defer([this, again = order, carried, closings = engines_[order.engine].closings]() mutable {
+    if (!carried_by_.contains(again.key)) return;       // called off meanwhile
+    if (engines_[again.engine].closings != closings) {  // closed meanwhile: it must not leave any more
+      carried_by_.erase(again.key);
+      return events_.attempt_ended(again.key, {Outcome::kNoConnection, std::nullopt, ""});
+    }
     again.budget -= loop_.now() - carried.since;
     place(again, carried);
   });
@@ -246,7 +250,9 @@
 }
 
 void Pool::engine_closed(EngineId engine) {
-  if (engine < engines_.size()) engine_at(engine, engines_[engine].address);
+  if (engine >= engines_.size()) return;
+  ++engines_[engine].closings;
+  engine_at(engine, engines_[engine].address);
 }
 
 // Nothing open: a retired connection goes, another after a while of idleness.
--- a/src/link/pool.h
+++ b/src/link/pool.h
@@ -125,6 +125,7 @@
   struct Engine {
     Endpoint address;
     std::vector<SlotKey> connections;
+    std::uint64_t closings = 0;  // how often it was closed to new work
     TimerKey probe_timer{};
   };
   LinkConnection* find(SlotKey key);
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -151,6 +152,18 @@
   std::vector<Peer> peers;
   std::size_t last = 0;  // the peer that the last command came from
   std::string id;        // of the last REQ
+  std::vector<Fd> filling;
+
+  // Its queue takes no connection any more: the kernel drops what comes, as a machine that is cut off does.
+  void fill() {
+    ::listen(listener.get(), 0);
+    for (int i = 0; i < 8; ++i) filling.push_back(connect_tcp({0x7f000001, port}));
+  }
+  void let() {
+    filling.clear();
+    while (readable(listener, 20ms)) accept_from(listener);
+    ::listen(listener.get(), 64);
+  }
 
   // The next command from any connection: its line, and the body of a REQ after it.
   std::optional<std::string> next(std::chrono::milliseconds within) {
@@ -245,6 +258,21 @@
     if (verb == "send") return send();
     if (verb == "expect") return expect();
     if (verb == "close") return close();
+    if (verb == "fill") return line_engines_.at(word()).fill();
+    if (verb == "let") return line_engines_.at(word()).let();
+    if (verb == "absorb") {
+      LineEngine& engine = line_engines_.at(word());
+      const auto quiet = std::chrono::milliseconds(std::stoi(word()));
+      while (engine.next(quiet)) {
+      }
+      return;
+    }
+    if (verb == "repeat") {
+      const int times = std::stoi(word());
+      const std::string again = rest();
+      for (int i = 0; i < times; ++i) step(again);
+      return;
+    }
     if (verb == "wait") return std::this_thread::sleep_for(std::chrono::milliseconds(std::stoi(word())));
     if (verb == "access") {
       config_["access"] = callers_->section();
@@ -639,7 +667,8 @@
     std::string as;
     if (what == "as") as = word(), what = word();
     if (what == "hex") return client.peer.send(from_hex(word()));
-    const auto stream = static_cast<std::uint32_t>(std::stoul(word()));
+    const std::string number = word();
+    const auto stream = number == "+" ? ++streams_ : static_cast<std::uint32_t>(std::stoul(number));
     if (what == "abandon") return client.peer.send(frames::make_frame(frames::kAbandon, stream, ""));
     if (what == "ready")
       return client.peer.send(frames::make_frame(frames::kIsReady, stream, std::string(1, '\0')));
@@ -656,6 +685,11 @@
         fields[part.substr(0, part.find('='))] = part.substr(part.find('=') + 1);
       }
     }
+    if (const auto call_id = fields.find("call"); call_id != fields.end() && call_id->second == "new") {
+      std::ostringstream call;
+      call << std::hex << 0x2000000000000000 + ++calls_;
+      fields["call"] = call.str();
+    }
     if (!as.empty()) fields["token"] = tokens_.contains(as) ? tokens_.at(as) : as;
     std::string payload(1, static_cast<char>(fields.size()));
     for (const auto& [key, value] : fields) {
@@ -735,7 +769,8 @@
     }
     require(frame->type == frames::kAnswer, "not an answer but type " + std::to_string(frame->type));
     if (what == "error") return require(frame->stream == 0, "an error on a stream");
-    const int code = what == "served" ? 0 : what == "refused" || what == "denied" ? 1 : 2;
+    const bool refused = what == "refused" || what == "denied" || what == "pushback";
+    const int code = what == "served" ? 0 : refused ? 1 : 2;
     std::string_view body = frame->payload.substr(1);
     frames::Fields fields;
     require(frames::parse_fields(body, fields), "unreadable fields");
@@ -748,6 +783,10 @@
                      "denied for another reason: " + std::string(body));
     }
     require(code != 1 || fields.contains("pushback"), "a refusal without a time to come back");
+    if (what == "pushback") {
+      const std::string wanted = word();
+      return require(fields["pushback"] == wanted, "it says " + fields["pushback"]);
+    }
     const std::string text = rest();
     require(code == 0 ? body == text : body.find(text) != body.npos, "body '" + std::string(body) + "'");
   }
@@ -879,6 +918,7 @@
   int starts_ = 0;
   std::uint16_t frames_port_ = 0, mysql_port_ = 0;
   std::uint64_t calls_ = 0;
+  std::uint32_t streams_ = 1000;
 };
 
 }  // namespace
--- a/tests/dispatch/scenario.h
+++ b/tests/dispatch/scenario.h
@@ -19,12 +19,17 @@
 //   mysql C denied                  the log-in must fail
 //   knock C                         connects to the MySQL front and says nothing
 //   send C request STREAM CLASS TTL TEXT | send C fields STREAM NAME=VALUE,... TEXT
+//                                   STREAM may be + (a number above 1000, each once) and the call 'new'
 //   send C slowly MS request ...    the same in ten pieces, over that time
 //   send C begin request ... | send C finish     its first half, the rest of it
 //   crowd N                          N clients that connect and say nothing
 //   send C abandon STREAM | send C ready STREAM | send C hex BYTES
 //   expect C served|refused|failed STREAM [TEXT] | expect C ready CODE | expect C goaway | expect C error
+//   expect C pushback STREAM MS     refused, and to stay away for so long
 //   expect A REQ TEXT               the engine's next command, its fields and body in part; also FETCH, END, STOP
+//   fill A | let A                  A's queue of connections is full: the kernel drops tries to connect; no more so
+//   absorb A MS                     takes the engine's commands until none has come for so long
+//   repeat N STEP                   that step so often
 //   send A WORD FIELDS [TEXT]       an answer to the engine's last REQ
 //   send A raw BYTES                on the connection of the engine's last command
 //   send C query TEXT | send C prepare TEXT | send C command HEX
