Read a request's tenant from its field `org`, so that the module's quotas hold on sockets

Seen: RequestArrived::tenant came from a token alone, so without [access] the module saw nobody on sockets and all traffic counted as within quota; no test saw the field reach the module, and figures by tenant were there with [access] only.

Now the frames front reads `org` where callers are not identified; with [access] on it is not looked at, and what was proven counts. Unknown names fail as other unusable fields do, overlong ones likewise, and neither is logged. Without one a request is served within no quota: the protocol calls no request bad for it, and the name is the client's own word anyway. Settings without tenants take no notice. While settings change former names are good, and a dropped tenant keeps its quota. Names are bound in Dispatcher::bind, as the settings have them rather than as the wire writes them. Figures by tenant are told for both; their names are those of a file.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -95,6 +95,14 @@
   } catch (const std::exception& fault) {
     throw ConfigError("settings", fault.what());
   }
+  // The wire writes '_' for some characters; on sockets tenants are named as in the settings themselves.
+  if (const auto parties = settings.find("parties"); parties != settings.end() && parties->is_array()) {
+    for (std::size_t i = 0; i < config.settings.tenants.size(); ++i) {
+      const json& party = (*parties)[i];
+      const json name = party.is_object() ? party.value("name", json()) : json();
+      if (name.is_string()) config.settings.tenants[i].name = name.get<std::string>();
+    }
+  }
   const Reader reader(settings, "settings");
   if (reader.has("localities")) {
     for (const auto& zone : reader.need("localities")) {
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -43,6 +43,12 @@
   return found->second;
 }
 
+std::optional<std::uint32_t> Dispatcher::tenant_named(std::string_view name) const {
+  const auto found = tenant_names_.find(name);
+  if (found == tenant_names_.end()) return std::nullopt;
+  return found->second;
+}
+
 void Dispatcher::share(std::size_t parts) {
   if (std::exchange(parts_, parts) == parts) return;
   settle();
@@ -56,8 +62,10 @@
   limits_ = limits;
   loop_.cancel(change_timer_);
   bind(stricter(binding_, fresh));
+  changing_ = true;
   change_timer_ = loop_.at(loop_.now() + limits_.change_time, [this, fresh] {
     settle();
+    changing_ = false;
     bind(fresh);
     log_.line(Level::kNotice, "core", "the new settings bind alone", {});
   });
@@ -102,12 +110,19 @@
   binding_ = fresh;
   settings_ = std::move(next);
   class_names_ = std::move(names);
+  tenant_names_.clear();
+  for (std::uint32_t i = 0; i < settings_.tenants.size(); ++i) {
+    if (!settings_.tenants[i].name.empty()) tenant_names_.try_emplace(settings_.tenants[i].name, i);
+  }
   users_.resize(settings_.classes.size());
   for (const auto& cls : settings_.classes) figures_.by_class[cls.name];  // shown from the start, as 0
   // Kinds and zones are known by their places in the settings, which may have changed.
   lemonshift::EngineList list;
   for (EngineId id = 0; id < engines_.size(); ++id) {
     if (engines_[id].told.state != EngineState::kGone) list.entries.push_back(entry_of(id));
+    // The grace may be a shorter one now.
+    const bool closed = engines_[id].told.state != EngineState::kServing;
+    if (closed && loop_.now() < drain_limit(engines_[id].closed_at)) watch_drain(id);
   }
   if (!engines_.empty()) push(std::move(list));
 }
@@ -120,9 +135,6 @@
   request.arrival.give_up_at -= limits_.answer_margin;
   request.asker = &asker;
   request.ticket = ticket;
-    // The grace may be a shorter one now.
-    const bool closed = engines_[id].told.state != EngineState::kServing;
-    if (closed && loop_.now() < drain_limit(engines_[id].closed_at)) watch_drain(id);
   request.bytes = arrival.query->bytes();
   const bool no_room = held_ + request.bytes > limits_.held_bytes / parts_ || unanswered_ >= limits_.max_open;
   held_ += request.bytes;
@@ -152,11 +164,7 @@
   if (kept.work) event.work = static_cast<double>(to_module(*kept.work));
   event.memory_mb = kept.memory_mb;
   event.is_repeat = kept.is_repeat;
-  if (!kept.tenant.empty()) {
-    for (std::uint32_t i = 0; i < settings_.tenants.size(); ++i) {
-      if (settings_.tenants[i].name == kept.tenant) event.tenant = i;
-    }
-  }
+  event.tenant = tenant_named(kept.tenant);
   push(event);
   return key;
 }
@@ -335,7 +343,7 @@
                                       : figures.failed);
   };
   add(figures_.by_class[rules(cls).name]);
-  if (!tenant.empty()) add(figures_.access.by_tenant[std::string(tenant)][rules(cls).name]);
+  if (!tenant.empty()) add(figures_.by_tenant[std::string(tenant)][rules(cls).name]);
 }
 
 Gauges Dispatcher::gauges() const {
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -43,6 +43,11 @@
   // it is open.
   const lemonshift::ClassSettings& rules(lemonshift::ClassIndex cls) const { return settings_.classes[cls]; }
   std::optional<lemonshift::ClassIndex> class_named(std::string_view name) const;
+  // Whether the settings tell tenants apart, and know this one.
+  bool has_tenants() const { return !tenant_names_.empty(); }
+  std::optional<std::uint32_t> tenant_named(std::string_view name) const;
+  // Clients may still go by settings that were in force before the last change.
+  bool is_changing() const { return changing_; }
   // Other settings from now on: the stricter of both at once, the new ones alone once clients go by them.
   // What is open keeps the rules under which it came.
   void change(const lemonshift::Settings& fresh, std::vector<std::string> zones, CoreLimits limits);
@@ -99,12 +104,12 @@
   void bind(const lemonshift::Settings& fresh);
   lemonshift::EngineEntry entry_of(EngineId id) const;
   void close_engine(EngineId id);
+  void watch_drain(EngineId id);
   Time drain_limit(Time told) const;
   void push(lemonshift::Event event);
   void carry_out(const lemonshift::Action& action);
   void send(const lemonshift::Send& send);
   std::optional<std::string> forbidden(const Request* request, const lemonshift::Send& send) const;
-  void watch_drain(EngineId id);
   void end_attempt(RequestKey key, std::uint32_t number, AttemptEnd end);
   void call_off(RequestKey key, std::uint32_t number, Outcome outcome);
   void cancel_attempt(RequestKey key, std::uint32_t number);
@@ -120,7 +125,9 @@
   lemonshift::Settings settings_;   // the same with the classes by which open requests go on: never moved
   std::vector<std::size_t> users_;  // of each such class, requests
   std::map<std::string, lemonshift::ClassIndex, std::less<>> class_names_;
+  std::map<std::string, std::uint32_t, std::less<>> tenant_names_;
   TimerKey change_timer_{};
+  bool changing_ = false;
   std::vector<std::string> zones_;
   CoreLimits limits_;
   lemonshift::Router router_;
--- a/src/core/figures.h
+++ b/src/core/figures.h
@@ -20,13 +20,13 @@
   std::uint64_t checks_cached = 0, checks_run = 0, checks_bad = 0;
   std::chrono::microseconds check_time{};       // that the checked signatures took
   std::map<std::string, std::uint64_t> denied;  // by the denial's word
-  // By tenant and class; tenants are those of the operator's file.
-  std::map<std::string, std::map<std::string, ClassFigures, std::less<>>, std::less<>> by_tenant;
 };
 
 // Counters since the process began. Those of a class that was dropped stay, so that sums never fall.
 struct Figures {
   std::map<std::string, ClassFigures, std::less<>> by_class;
+  // By tenant and class. Tenants are those that a file names, in [access] or the settings: clients add none.
+  std::map<std::string, std::map<std::string, ClassFigures, std::less<>>, std::less<>> by_tenant;
   AccessFigures access;
   std::uint64_t attempts_written = 0;        // to the last byte, to query engines
   std::uint64_t loads = 0, load_errors = 0;  // configurations taken and turned down at SIGHUP
--- a/src/core/interfaces.h
+++ b/src/core/interfaces.h
@@ -50,7 +50,7 @@
   std::optional<Duration> work;
   std::optional<double> memory_mb;
   bool is_repeat = false;
-  std::string tenant;  // whose caller asks; empty: callers are not told apart
+  std::string tenant;  // whose caller asks, proven or as the request says; empty: nobody's
 };
 
 enum class Verdict { kServed, kRefused, kFailed };
--- a/src/core/rules.cpp
+++ b/src/core/rules.cpp
@@ -38,6 +38,12 @@
       tighten(*same, old);
     }
   }
+  // A tenant that is dropped keeps its quota as long as its clients still name it.
+  for (const auto& old : former.tenants) {
+    const bool stays = std::any_of(both.tenants.begin(), both.tenants.end(),
+                                   [&](const auto& tenant) { return tenant.name == old.name; });
+    if (!stays) both.tenants.push_back(old);
+  }
   both.max_attempts = std::min(former.max_attempts, fresh.max_attempts);
   both.drain_grace = std::min(former.drain_grace, fresh.drain_grace);
   both.second_copies = former.second_copies && fresh.second_copies;
--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -102,6 +102,7 @@
 // Figures beyond these are no estimates: they would only mislead the module about what usual requests take.
 constexpr int kMostDeadlines = 4;                     // of its class, that a client may wait
 constexpr double kMostWork = 1e7, kMostMemory = 1e7;  // ms, MB
+constexpr std::size_t kLongestName = 255;             // bytes of a tenant's
 
 std::optional<double> amount(std::string_view text) {
   const auto value = parse_number<double>(text);
@@ -115,11 +116,11 @@
          });
 }
 
-std::string_view cause_text(const Answer& answer) {
 frames::Fields::value_type pushback(Duration pause) {
   return {"pushback", std::to_string(std::chrono::ceil<std::chrono::milliseconds>(pause).count())};
 }
 
+std::string_view cause_text(const Answer& answer) {
   switch (answer.cause) {
     case Cause::kDeadline:
       return "the deadline passed";
@@ -360,12 +361,17 @@
       return answer(frame.stream, frames::kRefused, {{"denied", std::string(decide::denial_word(leaving_))}},
                     decide::denial_text(leaving_));
     }
+    std::string tenant;
     const auto unusable = [&](std::string_view why) {
-      if (cls) front_.core_.turned_away(*cls, Verdict::kFailed);
+      if (cls) front_.core_.turned_away(*cls, Verdict::kFailed, tenant);
       reject(frame.stream, why);
     };
     if (!call || !is_call_id(*call)) return unusable("field call: not 16 hex digits");
     if (!cls) return unusable("field op: unknown class");
+    // Where callers are identified, what they proved says whose they are, and nothing else does.
+    if (const auto org = front_.gate_ ? std::nullopt : field("org"); org && !org->empty()) {
+      if (const char* why = take_tenant(*org, tenant)) return unusable(why);
+    }
     const auto ttl = ttl_text ? parse_number<std::uint32_t>(*ttl_text) : std::nullopt;
     if (!ttl || *ttl == 0) return unusable("field ttl: not a positive number of milliseconds");
     const Duration patience = std::chrono::milliseconds(*ttl);
@@ -388,7 +394,7 @@
       return unusable("field call: open already");
     }
     if (open_.size() >= front_.limits_.most_open) {
-      front_.core_.turned_away(*cls, Verdict::kRefused);
+      front_.core_.turned_away(*cls, Verdict::kRefused, tenant);
       return answer(frame.stream, frames::kRefused, {pushback(front_.core_.short_pause())},
                     "too many open requests here");
     }
@@ -404,6 +410,7 @@
     arrival.give_up_at = front_.loop_.now() + patience;
     if (work && *work > 0) arrival.work = Duration(std::llround(*work * 1000));
     if (memory && *memory > 0) arrival.memory_mb = memory;
+    arrival.tenant = std::move(tenant);
     const SlotKey ticket = front_.tickets_.insert({key_, frame.stream, 0, std::string(*call)});
     front_.open_calls_.emplace(*call);
     open_[frame.stream] = ticket;
@@ -413,6 +420,20 @@
     accept(ticket, arrival);
   }
 
+  // Whose request it is, by its own word. Without tenants in the settings the word means nothing and does no
+  // harm. Returns why it can't be used; the word itself goes into no log.
+  const char* take_tenant(std::string_view org, std::string& tenant) const {
+    const Dispatcher& core = front_.core_;
+    if (!core.has_tenants()) return nullptr;
+    if (core.tenant_named(org)) {
+      tenant = org;
+      return nullptr;
+    }
+    if (org.size() > kLongestName) return "field org: longer than a name may be";
+    // While settings change, its client may go by a list that we don't have any more.
+    return core.is_changing() ? nullptr : "field org: unknown tenant";
+  }
+
   void accept(SlotKey ticket, const Arrival& arrival) {
     front_.tickets_.find(ticket)->request = front_.core_.accept(arrival, front_, ticket);
   }
--- a/src/ops/ops.cpp
+++ b/src/ops/ops.cpp
@@ -3,6 +3,16 @@
 #include <algorithm>
 
 namespace rookproxy {
+namespace {
+
+// Tenants may be named as their operators like; a figure is one word of a line.
+std::string plain_word(std::string name) {
+  std::replace_if(
+      name.begin(), name.end(), [](unsigned char c) { return c <= ' ' || c >= 0x7f || c == '='; }, '_');
+  return name;
+}
+
+}  // namespace
 
 std::string figures_text(const Figures& figures, const Gauges& gauges) {
   std::string text;
@@ -28,12 +38,13 @@
     put("token_checks.bad", access.checks_bad);
     put("token_checks.us", static_cast<std::uint64_t>(access.check_time.count()));
     for (const auto& [word, times] : access.denied) put("denied." + word, times);
-    for (const auto& [tenant, classes] : access.by_tenant) {
-      for (const auto& [name, one] : classes) {
-        put("tenant." + tenant + ".passed." + name, one.served);
-        put("tenant." + tenant + ".dropped." + name, one.refused);
-        put("tenant." + tenant + ".bad_gateway." + name, one.failed);
-      }
+  }
+  for (const auto& [tenant, classes] : figures.by_tenant) {
+    const std::string at = "tenant." + plain_word(tenant) + ".";
+    for (const auto& [name, one] : classes) {
+      put(at + "passed." + name, one.served);
+      put(at + "dropped." + name, one.refused);
+      put(at + "bad_gateway." + name, one.failed);
     }
   }
   put("loads", figures.loads);
