Read and check peers, peers_all and peer_listen, and serve on without them where they are unusable

Need: the platform's configuration names the dispatchers of a tier and where they hear each other. Nothing is sent and no socket is opened yet: Config::peers has them, where permissions.may_tell allows to send.

Lists of addresses, lists of tables and tables by name are read; each bad value has an error that names its key. A file that does not name them at SIGHUP leaves the former.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -84,6 +84,18 @@
   return fd;
 }
 
+// Without usable ones a dispatcher serves as if it were alone.
+void log_peers(Log& log, const Config& config) {
+  if (!config.peers_fault.empty()) {
+    log.line(Level::kWarning, "config", "no peers: " + config.peers_fault, {});
+  } else if (config.peers) {
+    log.line(Level::kInfo, "config", "peers known",
+             {{"peers", std::to_string(config.peers->peers.size())},
+              {"listen", config.peers->listen.text()},
+              {"all", config.peers->all ? config.peers->all->text() : "-"}});
+  }
+}
+
 }  // namespace
 
 App::App(Loop& loop, Log& log, const Config& config)
@@ -109,6 +121,7 @@
   core_.learn_members(config.known, true);
   core_.settle();
   find_engines(config);
+  log_peers(log, config);
   if (config.listen) {
     frames_ = std::make_unique<FramesFront>(
         loop, log, core_, clients_listener(*config.listen, config.passed_socket, ""), FramesFront::Limits(),
@@ -257,9 +270,11 @@
   if (mysql_) fresh.mysql->passed_socket = config_.mysql->passed_socket;
   fresh.sockets = config_.sockets;
   fresh.memory_mb = config_.memory_mb;
+  fresh.peers = peers_after(config_, fresh);
   config_ = std::move(fresh);
   const Config& config = config_;
   configure_log(log_, config.log);
+  log_peers(log_, config);
   core_.change(config.settings, config.zones, core_limits(config));
   find_engines(config);
   // With a directory the file's list is that of some start, perhaps long ago: the directory knows better.
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -262,6 +262,11 @@
   config.service = reader.text_or("service", config.service);
   config.directory_poll = reader.milliseconds_or("directory_poll_ms", config.directory_poll, 10);
   read_settings(reader.need("settings"), config);
+  try {
+    config.peers = read_peers(document);
+  } catch (const ConfigError& fault) {
+    config.peers_fault = fault.what();
+  }
   if (reader.has("known")) read_known(reader.table("known"), config);
   if (reader.has("engines")) {  // an operator's fixed list
     std::size_t number = 0;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -55,6 +55,15 @@
   log.to_syslog(config.syslog, config.facility);
 }
 
+// Other dispatchers of the tier and where they reach us, where the settings allow to tell them anything. By
+// their own names, or by their places in the list.
+struct PeersConfig {
+  Endpoint listen;
+  std::vector<std::pair<std::string, Endpoint>> peers;  // as given; may hold our own address
+  std::optional<Endpoint> all;                          // reaches every one of them
+  bool operator==(const PeersConfig&) const = default;
+};
+
 struct Config {
   std::string name = "rookproxy";
   std::optional<Endpoint> listen;    // the platform's front
@@ -74,6 +83,10 @@
   std::size_t multiplex = 32;
   Duration tick = std::chrono::milliseconds(5);
   Duration refusal_pause = std::chrono::seconds(1);
+  std::optional<PeersConfig> peers;
+  // What is wrong with them. It stops no dispatcher from serving, which needs no peers for it; --check says
+  // it.
+  std::string peers_fault;
   LinkKind link = LinkKind::kLines;
   MysqlLinkConfig mysql_link;
   std::optional<MysqlFrontConfig> mysql;
@@ -99,6 +112,11 @@
 // The section [access]; its files are named and not read. Throws ConfigError.
 access::AccessSettings read_access(const nlohmann::json& section, const lemonshift::Settings& settings);
 TlsConfig read_tls(const nlohmann::json& section);
+// `peers`, `peers_all` and `peer_listen`; nothing if there are none or the settings allow to send nothing.
+// Throws ConfigError, also where nothing may be sent.
+std::optional<PeersConfig> read_peers(const nlohmann::json& document);
+// Those after a change of settings: an address that is listened at stays, and unusable ones change nothing.
+std::optional<PeersConfig> peers_after(const Config& running, const Config& fresh);
 // Checks a section against the published schema (src/config/*.schema.json); throws ConfigError with the key.
 void check_schema(const nlohmann::json& section, const std::string& name);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -28,6 +28,7 @@
       argc, argv, "rookproxy", kAbout, kFooter, false, [](const ProgramOptions& options, Log& log) {
         const Config config = load_config(read_environment(), options.file);
         if (options.check) {
+          if (!config.peers_fault.empty()) throw SettingsError(config.peers_fault);
           if (config.access) access::read_files(*config.access);
           if (config.tls) std::cout << tls::describe(*tls::ServerContext::load(config.tls->server)) << "\n";
           return report_fine();
--- a/tests/dispatch/deployments.cpp
+++ b/tests/dispatch/deployments.cpp
@@ -172,6 +172,137 @@
   CHECK(both[2].name == "gone");
 }
 
+namespace {
+
+nlohmann::json with_peers(const std::string& patch, bool may_tell = true) {
+  auto document = nlohmann::json::parse(
+      R"({"listen":"127.0.0.1:1","nameserver":"127.0.0.1:2","peer_listen":"10.0.0.9:7000","settings":{"grades":[
+      {"name":"q","effect":"pure","target":1,"deadline":5}],"permissions":{"max_attempts":2}}})");
+  document["settings"]["permissions"]["may_tell"] = may_tell;
+  document.merge_patch(nlohmann::json::parse(patch));
+  return document;
+}
+
+}  // namespace
+
+TEST_CASE("peers: the shapes that say the same are read the same") {
+  const Endpoint first{0x0a000001, 7000}, second{0x0a000002, 7001};
+  for (const char* peers :
+       {R"(["10.0.0.1:7000","10.0.0.2:7001"])", R"({"0":"10.0.0.1:7000","1":"10.0.0.2:7001"})",
+        R"([{"name":"0","address":"10.0.0.1:7000"},{"id":1,"host_port":"10.0.0.2:7001"}])",
+        R"([{"addr":"10.0.0.1:7000"},"10.0.0.2:7001"])"}) {
+    INFO(peers);
+    const Config config = read_config(with_peers(std::string(R"({"peers":)") + peers + "}"));
+    CHECK(config.peers_fault.empty());
+    REQUIRE(config.peers);
+    CHECK(config.peers->listen == Endpoint{0x0a000009, 7000});
+    CHECK(config.peers->peers == decltype(config.peers->peers){{"0", first}, {"1", second}});
+    CHECK_FALSE(config.peers->all);
+  }
+  const Config named = read_config(
+      with_peers(R"({"peers":{"n10":"10.0.0.1:7000","n2":"10.0.0.2:7001"},"peers_all":"10.0.0.3:7"})"));
+  REQUIRE(named.peers);
+  CHECK(named.peers->peers.front().first == "n2");
+  CHECK(named.peers->all == Endpoint{0x0a000003, 7});
+}
+
+TEST_CASE("peers: what can't be used is named by its key and stops nobody") {
+  // Guards against a dispatcher that does not start, or does not reread, for want of what it can do without.
+  nlohmann::json many = nlohmann::json::array();
+  for (int i = 0; i < 1025; ++i) many.push_back("10.0.0.1:" + std::to_string(1000 + i));
+  const std::vector<std::pair<std::string, std::string>> faults{
+      {R"({"peers":"10.0.0.1:7000"})", "peers: neither a list"},
+      {R"({"peers":7})", "peers: neither a list"},
+      {R"({"peers":["10.0.0.1:7000","somewhere"]})", "peers.1: not an address"},
+      {R"({"peers":["10.0.0.1"]})", "peers.0: not an address"},
+      {R"({"peers":["10.0.0.1:0"]})", "peers.0: not an address"},
+      {R"({"peers":[["a","10.0.0.1:7"]]})", "peers.0: not an address"},
+      {R"({"peers":{"n1":7}})", "peers.n1: not an address"},
+      {R"({"peers":[{"name":"n1"}]})", "peers.0: names no"},
+      {R"({"peers":[{"name":["n"],"address":"10.0.0.1:7"}]})", "peers.0.name: neither"},
+      {R"({"peers":["10.0.0.1:7","10.0.0.1:7"]})", "peers: there twice"},
+      {R"({"peers":[{"name":"a","address":"10.0.0.1:7"},{"name":"a","address":"10.0.0.1:8"}]})",
+       "peers: two are"},
+      {R"({"peers":)" + many.dump() + "}", "peers: more than 1024"},
+      {R"({"peers_all":["10.0.0.1:7"]})", "peers_all: not an address"},
+      {R"({"peer_listen":"here"})", "peer_listen: not an address"},
+      {R"({"peers":["10.0.0.1:7"],"peer_listen":null})", "peer_listen: missing"},
+      {R"({"peers":["10.0.0.1:7"],"settings":{"permissions":{"may_tell":"yes"}}})",
+       "settings.permissions.may_tell: neither"},
+  };
+  for (const bool may_tell : {true, false}) {
+    for (const auto& [patch, fault] : faults) {
+      INFO(patch);
+      const Config config = read_config(with_peers(patch, may_tell));
+      CHECK(config.peers_fault.starts_with(fault));
+      CHECK_FALSE(config.peers);
+    }
+  }
+  for (const char* nobody : {R"({})", R"({"peers":[]})", R"({"peers":{},"peer_listen":null})"}) {
+    INFO(nobody);
+    CHECK(read_config(with_peers(nobody)).peers_fault.empty());
+    CHECK_FALSE(read_config(with_peers(nobody)).peers);
+  }
+  const Config forbidden = read_config(with_peers(R"({"peers":["10.0.0.1:7"]})", false));
+  CHECK(forbidden.peers_fault.empty());
+  CHECK_FALSE(forbidden.peers);
+}
+
+TEST_CASE(
+    "peers: a change of settings takes fresh ones, keeps those it does not name and the address we hear at") {
+  const auto loaded = [](const std::string& patch, bool may_tell = true) {
+    auto document = with_peers(patch, may_tell);
+    Config config = read_config(document);
+    config.document = std::make_shared<const nlohmann::json>(std::move(document));
+    return config;
+  };
+  const Config running = loaded(R"({"peers":["10.0.0.1:7"]})");
+  CHECK(peers_after(running, loaded("{}")) == running.peers);
+  CHECK(peers_after(running, loaded(R"({"peers":7})")) == running.peers);
+  CHECK_FALSE(peers_after(running, loaded(R"({"peers":[]})")));
+  CHECK_FALSE(peers_after(running, loaded("{}", false)));
+  const auto moved = peers_after(running, loaded(R"({"peers":["10.0.0.2:7"],"peer_listen":"10.0.0.9:8"})"));
+  REQUIRE(moved);
+  CHECK(moved->listen == running.peers->listen);
+  CHECK(moved->peers.front().second == Endpoint{0x0a000002, 7});
+}
+
+TEST_CASE("peers: a running dispatcher says what is wrong with them and serves, and rereads without them") {
+  play(R"(
+    engines a
+    set /settings/permissions/may_tell false
+    set /peers "telex"
+    start
+    expect log no peers: peers: neither a list
+    client c
+    send c request 1 lookup 3000 SELECT 1
+    expect a REQ
+    send a data parts=1 one\n
+    expect c served 1 one\n
+    set /settings/permissions/may_tell true
+    set /peers {"t1":"127.0.0.1:7001","t2":"127.0.0.1:7002"}
+    set /peer_listen "127.0.0.1:7001"
+    configure
+    signal HUP
+    expect log peers known
+    set /peers null
+    configure
+    signal HUP
+    expect figure loads=2
+    expect figure load_errors=0)");
+}
+
+TEST_CASE("peers: --check names what is wrong with them") {
+  const std::string folder = test::new_folder(), file = folder + "/peers.toml", out = folder + "/out";
+  std::ifstream example(ROOKPROXY_ROOT "/deploy/mysql.toml");
+  std::ofstream(file) << "peers = [\"nowhere\"]\n" << example.rdbuf();
+  const int status =
+      std::system((ROOKPROXY_BINARY " --file " + file + " --check > " + out + " 2>&1").c_str());
+  CHECK(WEXITSTATUS(status) == 2);
+  CHECK(read_file(out).find("peers.0: not an address") != std::string::npos);
+  std::filesystem::remove_all(folder);
+}
+
 TEST_CASE("drains: the last send by a deployment's grace and how often its directory is asked") {
   struct Case {
     Duration poll, grace, last;  // from the word on
@@ -331,7 +462,5 @@
     send c request 1 lookup 3000 SELECT 2
     expect c pushback 1 300)");
   // 0: clients heed no advice, which is no reason not to start.
-  CHECK(read_config(nlohmann::json::parse(
-            R"({"listen":"127.0.0.1:1","nameserver":"127.0.0.1:2","settings":{"grades":[{"name":"q","effect":"pure",
-            "target":1,"deadline":5}],"permissions":{"max_attempts":2,"max_retry_after":0}}})")).refusal_pause == 1s);
+  CHECK(read_config(with_peers(R"({"settings":{"permissions":{"max_retry_after":0}}})")).refusal_pause == 1s);
 }
