--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -1,5 +1,8 @@
 #include "app/app.h"
 
+#include "decide/asking.h"
+#include "decide/drains.h"
+
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
@@ -29,7 +32,7 @@
   limits.per_connection = config.multiplex;
   // Few share a spoilt connection's end; one for each request was measured to cost engines more than it
   // saved.
-  limits.spread = 6;
+  limits.spread = std::min<std::size_t>(6, config.multiplex);
   limits.dial_timeout = limits.probe_timeout = config.dial_timeout;
   limits.idle = config.keepalive / 3;
   limits.answer_time = limits.doubt = config.dial_timeout;
@@ -51,6 +54,8 @@
   limits.held_bytes = held_share(config.memory_mb);
   limits.refusal_pause = config.refusal_pause;
   limits.tick = config.tick;
+  limits.drain_margin = decide::drain_margin(
+      config.nameserver ? decide::AskingTimes(config.directory_poll).longest_pause() : Duration(0));
   return limits;
 }
 
@@ -82,6 +87,18 @@
   return fd;
 }
 
+// Without usable ones a dispatcher serves as if it were alone.
+void log_peers(Log& log, const Config& config) {
+  if (!config.peers_fault.empty()) {
+    log.line(Level::kWarning, "config", "no peers: " + config.peers_fault, {});
+  } else if (config.peers) {
+    log.line(Level::kInfo, "config", "peers known",
+             {{"peers", std::to_string(config.peers->peers.size())},
+              {"listen", config.peers->listen.text()},
+              {"all", config.peers->all ? config.peers->all->text() : "-"}});
+  }
+}
+
 }  // namespace
 
 App::App(Loop& loop, Log& log, const Config& config)
@@ -107,6 +124,7 @@
   core_.learn_members(config.known, true);
   core_.settle();
   find_engines(config);
+  log_peers(log, config);
   if (config.listen) {
     frames_ = std::make_unique<FramesFront>(
         loop, log, core_, clients_listener(*config.listen, config.passed_socket, ""), FramesFront::Limits(),
@@ -259,9 +277,11 @@
   if (mysql_) fresh.mysql->passed_socket = config_.mysql->passed_socket;
   fresh.sockets = config_.sockets;
   fresh.memory_mb = config_.memory_mb;
+  fresh.peers = peers_after(config_, fresh);
   config_ = std::move(fresh);
   const Config& config = config_;
   configure_log(log_, config.log);
+  log_peers(log_, config);
   core_.change(config.settings, config.zones, core_limits(config));
   find_engines(config);
   // With a directory the file's list is that of some start, perhaps long ago: the directory knows better.
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -95,6 +95,14 @@
   } catch (const std::exception& fault) {
     throw ConfigError("settings", fault.what());
   }
+  // The wire writes '_' for some characters; on sockets tenants are named as in the settings themselves.
+  if (const auto parties = settings.find("parties"); parties != settings.end() && parties->is_array()) {
+    for (std::size_t i = 0; i < config.settings.tenants.size(); ++i) {
+      const json& party = (*parties)[i];
+      const json name = party.is_object() ? party.value("name", json()) : json();
+      if (name.is_string()) config.settings.tenants[i].name = name.get<std::string>();
+    }
+  }
   const Reader reader(settings, "settings");
   if (reader.has("localities")) {
     for (const auto& zone : reader.need("localities")) {
@@ -110,7 +118,9 @@
   };
   config.keepalive = micros("keepalive", config.keepalive);
   config.dial_timeout = micros("dial_timeout", config.dial_timeout);
-  config.refusal_pause = micros("max_retry_after", config.refusal_pause);
+  // 0 stands for clients that heed no advice; they are given some for those that do.
+  const auto longest = permissions.whole_or("max_retry_after", 0, 0, 3'600'000'000);
+  if (longest > 0) config.refusal_pause = Duration(longest);
   config.multiplex = static_cast<std::size_t>(permissions.whole_or("multiplex", 32, 1, 10'000));
 }
 
@@ -252,6 +262,11 @@
   config.service = reader.text_or("service", config.service);
   config.directory_poll = reader.milliseconds_or("directory_poll_ms", config.directory_poll, 10);
   read_settings(reader.need("settings"), config);
+  try {
+    config.peers = read_peers(document);
+  } catch (const ConfigError& fault) {
+    config.peers_fault = fault.what();
+  }
   if (reader.has("known")) read_known(reader.table("known"), config);
   if (reader.has("engines")) {  // an operator's fixed list
     std::size_t number = 0;
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -2,6 +2,7 @@
 // takes no decision of its own, but for mechanical guards that keep the rules whatever the module says.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -20,8 +21,8 @@
   std::size_t max_open = 20'000;
   // Answers go out this long before the client gives up, to be there in time.
   Duration answer_margin = std::chrono::milliseconds(8);
-  // Work stops going to an engine this long before the drain's grace ends, so that its first byte is in time.
-  Duration drain_margin = std::chrono::milliseconds(400);
+  // Work stops going to an engine this long before the drain's grace ends (decide/drains.h).
+  Duration drain_margin = std::chrono::milliseconds(250);
   Duration tick =
       std::chrono::milliseconds(5);  // the simulator's time between two batches, where settings tell it
   // Told with a refusal where the module gives no advice.
@@ -36,10 +37,17 @@
              std::vector<std::string> zones, CoreLimits limits);
 
   void use(EngineLinks& links) { links_ = &links; }
+  // What a refusal for lack of room here tells: no longer than clients are ready to stay away.
+  Duration short_pause() const { return std::min<Duration>(std::chrono::seconds(1), limits_.refusal_pause); }
   // The rules of a class; its index is good until the caller returns to the loop, or as long as a request of
   // it is open.
   const lemonshift::ClassSettings& rules(lemonshift::ClassIndex cls) const { return settings_.classes[cls]; }
   std::optional<lemonshift::ClassIndex> class_named(std::string_view name) const;
+  // Whether the settings tell tenants apart, and know this one.
+  bool has_tenants() const { return !tenant_names_.empty(); }
+  std::optional<std::uint32_t> tenant_named(std::string_view name) const;
+  // Clients may still go by settings that were in force before the last change.
+  bool is_changing() const { return changing_; }
   // Other settings from now on: the stricter of both at once, the new ones alone once clients go by them.
   // What is open keeps the rules under which it came.
   void change(const lemonshift::Settings& fresh, std::vector<std::string> zones, CoreLimits limits);
@@ -96,6 +104,7 @@
   void bind(const lemonshift::Settings& fresh);
   lemonshift::EngineEntry entry_of(EngineId id) const;
   void close_engine(EngineId id);
+  void watch_drain(EngineId id);
   Time drain_limit(Time told) const;
   void push(lemonshift::Event event);
   void carry_out(const lemonshift::Action& action);
@@ -116,7 +125,9 @@
   lemonshift::Settings settings_;   // the same with the classes by which open requests go on: never moved
   std::vector<std::size_t> users_;  // of each such class, requests
   std::map<std::string, lemonshift::ClassIndex, std::less<>> class_names_;
+  std::map<std::string, std::uint32_t, std::less<>> tenant_names_;
   TimerKey change_timer_{};
+  bool changing_ = false;
   std::vector<std::string> zones_;
   CoreLimits limits_;
   lemonshift::Router router_;
--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -98,11 +98,11 @@
 // Nobody is pushed out before what it sent with its connection could be read.
 constexpr Duration kFresh = std::chrono::milliseconds(20);
 constexpr Duration kLinger = std::chrono::milliseconds(300);
-constexpr Duration kNoRoomPause = std::chrono::seconds(1);
 constexpr std::size_t kUsualLength = 16 * 1024;  // of a frame; larger ones have to share a budget
 // Figures beyond these are no estimates: they would only mislead the module about what usual requests take.
 constexpr int kMostDeadlines = 4;                     // of its class, that a client may wait
 constexpr double kMostWork = 1e7, kMostMemory = 1e7;  // ms, MB
+constexpr std::size_t kLongestName = 255;             // bytes of a tenant's
 
 std::optional<double> amount(std::string_view text) {
   const auto value = parse_number<double>(text);
@@ -116,6 +116,10 @@
          });
 }
 
+frames::Fields::value_type pushback(Duration pause) {
+  return {"pushback", std::to_string(std::chrono::ceil<std::chrono::milliseconds>(pause).count())};
+}
+
 std::string_view cause_text(const Answer& answer) {
   switch (answer.cause) {
     case Cause::kDeadline:
@@ -256,7 +260,8 @@
       broken("no room for a frame so large");
       return bytes.size();
     }
-    answer(head.stream, frames::kRefused, {{"pushback", "1000"}}, "no room for a frame so large");
+    answer(head.stream, frames::kRefused, {pushback(front_.core_.short_pause())},
+           "no room for a frame so large");
     skip_ = length;
     return on_bytes(bytes);
   }
@@ -367,12 +372,17 @@
       return answer(frame.stream, frames::kRefused, {{"denied", std::string(decide::denial_word(leaving_))}},
                     decide::denial_text(leaving_));
     }
+    std::string tenant;
     const auto unusable = [&](std::string_view why) {
-      if (cls) front_.core_.turned_away(*cls, Verdict::kFailed);
+      if (cls) front_.core_.turned_away(*cls, Verdict::kFailed, tenant);
       reject(frame.stream, why);
     };
     if (!call || !is_call_id(*call)) return unusable("field call: not 16 hex digits");
     if (!cls) return unusable("field op: unknown class");
+    // Where callers are identified, what they proved says whose they are, and nothing else does.
+    if (const auto org = front_.gate_ ? std::nullopt : field("org"); org && !org->empty()) {
+      if (const char* why = take_tenant(*org, tenant)) return unusable(why);
+    }
     const auto ttl = ttl_text ? parse_number<std::uint32_t>(*ttl_text) : std::nullopt;
     if (!ttl || *ttl == 0) return unusable("field ttl: not a positive number of milliseconds");
     const Duration patience = std::chrono::milliseconds(*ttl);
@@ -395,8 +405,9 @@
       return unusable("field call: open already");
     }
     if (open_.size() >= front_.limits_.most_open) {
-      front_.core_.turned_away(*cls, Verdict::kRefused);
-      return answer(frame.stream, frames::kRefused, {{"pushback", "1000"}}, "too many open requests here");
+      front_.core_.turned_away(*cls, Verdict::kRefused, tenant);
+      return answer(frame.stream, frames::kRefused, {pushback(front_.core_.short_pause())},
+                    "too many open requests here");
     }
     Arrival arrival;
     auto query = std::make_shared<Query>();
@@ -410,6 +421,7 @@
     arrival.give_up_at = front_.loop_.now() + patience;
     if (work && *work > 0) arrival.work = Duration(std::llround(*work * 1000));
     if (memory && *memory > 0) arrival.memory_mb = memory;
+    arrival.tenant = std::move(tenant);
     const SlotKey ticket = front_.tickets_.insert({key_, frame.stream, 0, std::string(*call)});
     front_.open_calls_.emplace(*call);
     open_[frame.stream] = ticket;
@@ -419,6 +431,20 @@
     accept(ticket, arrival);
   }
 
+  // Whose request it is, by its own word. Without tenants in the settings the word means nothing and does no
+  // harm. Returns why it can't be used; the word itself goes into no log.
+  const char* take_tenant(std::string_view org, std::string& tenant) const {
+    const Dispatcher& core = front_.core_;
+    if (!core.has_tenants()) return nullptr;
+    if (core.tenant_named(org)) {
+      tenant = org;
+      return nullptr;
+    }
+    if (org.size() > kLongestName) return "field org: longer than a name may be";
+    // While settings change, its client may go by a list that we don't have any more.
+    return core.is_changing() ? nullptr : "field org: unknown tenant";
+  }
+
   void accept(SlotKey ticket, const Arrival& arrival) {
     front_.tickets_.find(ticket)->request = front_.core_.accept(arrival, front_, ticket);
   }
@@ -434,7 +460,8 @@
     }
     const std::size_t bytes = arrival.query->bytes();
     if (front_.checking_ + bytes > front_.limits_.most_unfinished) {
-      return judge(ticket, std::move(arrival), {decide::Denial::kBusy, nullptr, kNoRoomPause, false});
+      return judge(ticket, std::move(arrival),
+                   {decide::Denial::kBusy, nullptr, front_.core_.short_pause(), false});
     }
     auto waiting = std::make_shared<Arrival>(std::move(arrival));
     // It is destroyed with its check, which ends with this connection at the latest.
@@ -476,10 +503,7 @@
     const auto known = front_.take_ticket(ticket);
     front_.core_.turned_away(arrival.cls, Verdict::kRefused, arrival.tenant);
     frames::Fields fields{{"denied", std::string(decide::denial_word(denial))}};
-    if (proof.again) {
-      const auto pause = std::chrono::ceil<std::chrono::milliseconds>(*proof.again);
-      fields["pushback"] = std::to_string(pause.count());
-    }
+    if (proof.again) fields.insert(pushback(*proof.again));
     answer(known->stream, frames::kRefused, fields, decide::denial_text(denial));
     if (proof.close) end_when_idle(denial);
   }
@@ -586,8 +610,7 @@
   if (answer.verdict == Verdict::kServed) {
     connection->answer(known->stream, frames::kServed, {}, answer.body);
   } else if (answer.verdict == Verdict::kRefused) {
-    const auto pause = std::chrono::ceil<std::chrono::milliseconds>(answer.again.value_or(Duration(0)));
-    connection->answer(known->stream, frames::kRefused, {{"pushback", std::to_string(pause.count())}},
+    connection->answer(known->stream, frames::kRefused, {pushback(answer.again.value_or(Duration(0)))},
                        cause_text(answer));
   } else {
     connection->answer(known->stream, frames::kFailed, {}, cause_text(answer));
