--- /dev/null
+++ b/tests/cold_sum_test.cpp
@@ -0,0 +1,193 @@
+// The budget of cold engines as a sum over all dispatchers: nobody sees it, each keeps a part of its own.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+
+#include "fleet_of_routers.h"
+
+namespace lemonshift {
+namespace {
+
+using fleet::Fleet;
+using fleet::kSecond;
+using fleet::Load;
+
+constexpr double kBusyShare = 0.85;  // of its cores that an engine's capacity may come to, at the least
+
+struct Case {
+  const char* name;
+  std::uint32_t routers = 100;
+  ColdStart cold = {0.3, 15 * kSecond, 3, 1'500'000};
+  EngineId warm = 10, starting = 1;                                      // engines
+  double busy = 0.6;                                                     // of the warm engines' cores
+  double burst = 1;                                                      // times that, from the start for 4 s
+  std::vector<double> mean_ms = {120, 900, 2000}, rates = {12, 2, 0.2};  // by class; rates against each other
+  double estimates = 1;                                                  // in times of the work; 0: none come
+  int starts = 1;                                                        // of each, 8 s apart
+  bool dispatchers_restart = false;
+  int late_one_in = 20;      // sees lists some seconds late
+  bool starts_known = true;  // by a new id; false: the engine had run before
+};
+
+Settings settings_of(const Case& c) {
+  Settings s;
+  s.routers = c.routers;
+  s.max_attempts = 6, s.may_cancel = true, s.max_retry_after = 2 * kSecond;
+  s.kinds = {{"k", 8.0, 16384.0}};
+  s.drain_grace = 2 * kSecond, s.note_interval = kSecond / 2;
+  s.priorities_heeded = true;
+  s.cold = c.cold;
+  const char* names[] = {"lookup", "report", "load", "d", "e"};
+  for (std::size_t i = 0; i < c.mean_ms.size(); ++i) {
+    ClassSettings k;
+    k.name = names[i];
+    k.aim = std::vector<Time>{600'000, 2'000'000, 4'000'000, 4'000'000, 4'000'000}[i];
+    k.aim_stretch = 2.5;
+    k.deadline = i == 0 ? 3 * kSecond : 25 * kSecond;
+    k.threads = i == 0 ? 1 : 2;
+    k.worth = 1 + 3 * static_cast<double>(i), k.late_worth = 0.3;
+    if (i == 2) k.effect = Effect::kUnsafe, k.is_load = true;
+    s.classes.push_back(k);
+  }
+  return s;
+}
+
+struct Worst {
+  double told = 0;  // of the bound, by dispatchers that had been told of the start
+  double all = 0;   // by all, where over two thirds came from these
+};
+
+// The worst span that ends with a send: its work against what the settings allow at its beginning.
+void look(const Fleet& f, const ColdStart& cold, std::size_t process, Worst& worst) {
+  const auto& p = f.processes[process];
+  const double mean = f.mean_work();
+  std::deque<const fleet::Sent*> span;
+  double told = 0, all = 0;
+  for (const auto& s : f.sent) {
+    if (s.process != process || s.at - p.started >= cold.warm_after) continue;
+    span.push_back(&s);
+    told += s.told * s.work, all += s.work;
+    for (; span.front()->at <= s.at - cold.span; span.pop_front())
+      told -= span.front()->told * span.front()->work, all -= span.front()->work;
+    const double age = static_cast<double>(std::max<Time>(0, s.at - cold.span - p.started)) /
+                       static_cast<double>(cold.warm_after);
+    const double share = cold.from + (1 - cold.from) * age * age;
+    const double n = cold.multiple * share * kBusyShare * p.cores * static_cast<double>(cold.span) / mean;
+    const double bound = (n + 3 * std::sqrt(n) + 3) * mean;
+    worst.told = std::max(worst.told, told / bound);
+    if (told > all * 2 / 3) worst.all = std::max(worst.all, all / bound);
+  }
+}
+
+Worst play(const Case& c, std::uint64_t seed, double* used) {
+  double a_round = 0, all_rates = 0;
+  for (std::size_t i = 0; i < c.rates.size(); ++i) a_round += c.rates[i] * c.mean_ms[i] / 1000;
+  for (const double one : c.rates) all_rates += one;
+  std::vector<Load> loads;
+  for (std::size_t i = 0; i < c.rates.size(); ++i)
+    loads.push_back({c.busy * 8 * c.warm * c.rates[i] / a_round, c.mean_ms[i] * 1000, i == 0 ? 1.2 : 0.8,
+                     c.estimates > 0});
+  Fleet f(settings_of(c), loads, seed);
+  f.estimate_off = c.estimates;
+  for (EngineId i = 0; i < c.warm; ++i) f.add();
+  std::vector<EngineId> cold;
+  if (!c.starts_known) {
+    for (EngineId i = 0; i < c.starting; ++i) cold.push_back(f.add());
+  }
+  f.run(6 * kSecond);
+  for (int start = 0; start < c.starts; ++start) {
+    for (EngineId i = 0; i < c.starting; ++i) {
+      if (start == 0 && c.starts_known) {
+        cold.push_back(f.add(f.now));
+      } else {
+        f.end(cold[i]);
+        f.begin(cold[i]);
+      }
+    }
+    f.publish(3 * kSecond / 2, c.late_one_in);
+    f.pushing = c.burst;
+    f.at(f.now + 4 * kSecond, [&f] { f.pushing = 1; });
+    if (c.dispatchers_restart) {
+      for (std::uint32_t i = 0; i < c.routers; i += 3)
+        f.at(f.now + kSecond / 2 + 4 * kSecond * i / c.routers, [&f, i] { f.restart(i); });
+    }
+    f.run(f.now + (start + 1 < c.starts ? 8 * kSecond : c.cold.warm_after));
+  }
+  Worst worst;
+  double work = 0, time = 0;
+  for (std::size_t p = 0; p < f.processes.size(); ++p) {
+    if (f.processes[p].started == 0) continue;
+    look(f, c.cold, p, worst);
+    time += 8 * static_cast<double>(c.starts > 1 ? 8 * kSecond : c.cold.warm_after);
+    for (const auto& s : f.sent) work += s.process == p ? s.work : 0;
+  }
+  *used = work / time;
+  return worst;
+}
+
+TEST(ColdSum, AllDispatchersTogetherStayUnderWhatTheSettingsAllow) {
+  const ColdStart first{0.3, 15 * kSecond, 3, 1'500'000}, second{0.3, 15 * kSecond, 4, 2 * kSecond};
+  std::vector<Case> cases;
+  for (const std::uint32_t n : {100u, 300u}) {
+    cases.push_back({.name = "one cold among ten", .routers = n});
+    cases.push_back({.name = "burst at its start", .routers = n, .busy = 0.9, .burst = 4});
+    cases.push_back(
+        {.name = "six in ten cold", .routers = n, .warm = 8, .starting = 12, .busy = 1.2, .burst = 2});
+    cases.push_back({.name = "restarts twice", .routers = n, .busy = 0.9, .burst = 2, .starts = 3});
+    cases.push_back({.name = "restarts twice, had run before",
+                     .routers = n,
+                     .busy = 0.9,
+                     .burst = 2,
+                     .starts = 3,
+                     .starts_known = false});
+    cases.push_back({.name = "a third of the dispatchers restart",
+                     .routers = n,
+                     .busy = 0.9,
+                     .burst = 4,
+                     .dispatchers_restart = true});
+    cases.push_back({.name = "five classes",
+                     .routers = n,
+                     .busy = 0.9,
+                     .burst = 4,
+                     .mean_ms = {60, 400, 2000, 1500, 300},
+                     .rates = {10, 3, 0.3, 1, 2}});
+    cases.push_back({.name = "estimates at half", .routers = n, .busy = 0.9, .burst = 4, .estimates = 0.5});
+    cases.push_back({.name = "no estimates", .routers = n, .busy = 0.9, .burst = 4, .estimates = 0});
+    cases.push_back({.name = "rare heavy class",
+                     .routers = n,
+                     .busy = 0.9,
+                     .burst = 4,
+                     .mean_ms = {120, 900, 8000},
+                     .rates = {12, 2, 0.05}});
+  }
+  for (const double burst : {1.0, 4.0}) {
+    cases.push_back({.name = "three dispatchers", .routers = 3, .cold = second, .busy = 0.9, .burst = burst});
+    cases.push_back({.name = "three, restarting",
+                     .routers = 3,
+                     .cold = second,
+                     .busy = 0.9,
+                     .burst = burst,
+                     .dispatchers_restart = true});
+    cases.push_back({.name = "three, six in ten cold",
+                     .routers = 3,
+                     .cold = second,
+                     .warm = 8,
+                     .starting = 12,
+                     .busy = 1.2,
+                     .burst = burst});
+    cases.push_back(
+        {.name = "twenty dispatchers", .routers = 20, .cold = first, .busy = 0.9, .burst = burst});
+  }
+  for (const auto& c : cases) {
+    double used = 0;
+    const auto worst = play(c, 17, &used);
+    std::printf("%-34s %3u routers, burst %.0f: worst %.2f of the bound (all %.2f), used %.2f\n", c.name,
+                c.routers, c.burst, worst.told, worst.all, used);
+    std::fflush(stdout);
+    EXPECT_LT(worst.told, 1) << c.name << ", " << c.routers;
+    EXPECT_LT(worst.all, 1) << c.name << ", " << c.routers;
+  }
+}
+
+}  // namespace
+}  // namespace lemonshift
