--- /dev/null
+++ b/tests/fleet_router_test.cpp
@@ -0,0 +1,171 @@
+// Troubles of engines and lists that many dispatchers see a little of each, in virtual time.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+
+#include "fleet_of_routers.h"
+
+namespace lemonshift {
+namespace {
+
+using fleet::Fleet;
+using fleet::kSecond;
+using fleet::Load;
+
+Settings settings_of(std::uint32_t routers) {
+  Settings s;
+  s.routers = routers;
+  s.max_attempts = 6, s.may_cancel = true, s.max_retry_after = 2 * kSecond;
+  s.kinds = {{"k", 8.0, 16384.0}};
+  s.answer_grace = 20'000, s.drain_grace = 2 * kSecond, s.note_interval = kSecond / 2;
+  s.priorities_heeded = true;
+  s.cold = ColdStart{0.3, 15 * kSecond, 3, 3 * kSecond / 2};
+  for (int i = 0; i < 3; ++i) {
+    ClassSettings k;
+    k.name = std::vector<std::string>{"lookup", "report", "load"}[i];
+    k.aim = std::vector<Time>{600'000, 2'000'000, 4'000'000}[i];
+    k.aim_stretch = i == 0 ? 1.5 : 2.5;
+    k.deadline = i == 0 ? 3 * kSecond : 12 * kSecond;
+    k.threads = i == 0 ? 1 : 2;
+    k.worth = std::vector<double>{1, 7.5, 6}[i], k.late_worth = 0.3;
+    if (i == 2) k.effect = Effect::kUnsafe, k.is_load = true;
+    s.classes.push_back(k);
+  }
+  return s;
+}
+
+// 0.24 s of work each, over the fleet.
+std::vector<Load> loads_of(double per_second) {
+  return {{per_second * 0.86, 120'000, 1}, {per_second * 0.12, 900'000, 0.8}, {per_second * 0.02, 2e6, 0.8}};
+}
+
+void expect_rules_kept(const Fleet& f) {
+  EXPECT_EQ(f.answers_twice, 0);
+  EXPECT_EQ(f.sent_after_end, 0);
+  EXPECT_EQ(f.unsafe_twice, 0);
+  EXPECT_EQ(f.sent_after_close, 0);
+  EXPECT_EQ(f.unanswered(), 0u);
+}
+
+struct Shares {
+  double late = 0, lost = 0;  // of the requests that came in a time: not served in time; not served at all
+};
+
+Shares shares(const Fleet& f, Time from, Time until) {
+  double all = 0, late = 0, lost = 0;
+  for (const auto& a : f.asked) {
+    if (a.orphan || a.arrived < from || a.arrived >= until) continue;
+    ++all, late += !a.served || a.ended > a.aim_at, lost += !a.served;
+  }
+  return {late / all, lost / all};
+}
+
+// One of twenty takes requests and says nothing. A dispatcher alone would send it its twentieth for ever: it
+// has to learn from the few that it loses there.
+TEST(Fleet, AHungEngineSeenAFewTimesAMinute) {
+  struct {
+    bool probes;
+    std::uint32_t attempts;
+    bool notes;
+    double per_second;
+    double late, lost;  // at most, of all requests in the two minutes from then on
+  } const cases[] = {
+      {false, 6, true, 100, 0.02, 0.015}, {false, 3, true, 100, 0.02, 0.015},
+      {true, 6, true, 100, 0.02, 0.015},  {true, 3, true, 100, 0.02, 0.015},
+      {false, 6, true, 300, 0.015, 0.01}, {false, 6, false, 100, 0.02, 0.015},
+  };
+  for (const auto& c : cases) {
+    auto s = settings_of(100);
+    s.max_attempts = c.attempts, s.may_probe = c.probes;
+    if (!c.notes) s.note_interval.reset();
+    Fleet f(s, loads_of(c.per_second), 5);
+    for (int i = 0; i < 20; ++i) f.add();
+    f.run(20 * kSecond);
+    f.process(7).hung = true;
+    f.run(140 * kSecond);
+    f.drain();
+    expect_rules_kept(f);
+    const auto after = shares(f, 20 * kSecond, 140 * kSecond);
+    double sends[2] = {0, 0}, of_all[2] = {0, 0};  // by minute
+    for (const auto& one : f.sent) {
+      if (one.at < 20 * kSecond || one.at >= 140 * kSecond) continue;
+      const auto minute = (one.at / kSecond - 20) / 60;
+      sends[minute] += one.engine == 7, ++of_all[minute];
+    }
+    std::printf(
+        "%.0f/s, %u attempts%s%s: a dispatcher lost %.2f and %.2f requests to it by minute; late %.4f, lost "
+        "%.4f\n",
+        c.per_second, c.attempts, c.probes ? ", probes" : "", c.notes ? "" : ", no notes", sends[0] / 100,
+        sends[1] / 100, after.late, after.lost);
+    EXPECT_LT(sends[0] / of_all[0], 0.03);  // an even part is 0.05
+    EXPECT_LT(sends[1] / of_all[1], 0.015);
+    EXPECT_LT(after.late, c.late);
+    EXPECT_LT(after.lost, c.lost);
+  }
+}
+
+// For 6 s nothing is heard of a fifth of the engines, or of one attempt in 25 anywhere.
+TEST(Fleet, SilenceOfAFifthOrOfAnswersForAWhile) {
+  for (const bool engines : {true, false}) {
+    for (const double per_second : {100.0, 400.0}) {
+      Fleet f(settings_of(100), loads_of(per_second), 23);
+      for (int i = 0; i < 20; ++i) f.add();
+      f.run(20 * kSecond);
+      const auto set = [&](bool on) {
+        for (EngineId i = 0; engines && i < 4; ++i) f.process(i).hung = on;
+        f.losses = !engines && on ? 0.04 : 0;
+      };
+      set(true);
+      f.run(26 * kSecond);
+      set(false);
+      f.run(50 * kSecond);
+      f.drain();
+      expect_rules_kept(f);
+      const auto during = shares(f, 18 * kSecond, 26 * kSecond),
+                 after = shares(f, 30 * kSecond, 50 * kSecond);
+      double there = 0, all = 0;
+      for (const auto& one : f.sent) {
+        if (one.at < 35 * kSecond) continue;
+        there += one.engine < 4, ++all;
+      }
+      EXPECT_LT(during.late, engines ? 0.15 : 0.06);
+      EXPECT_LT(during.lost, engines ? 0.07 : 0.04);
+      EXPECT_LT(after.late, 0.005);
+      EXPECT_GT(there / all, 0.15);  // of a fifth: they are taken back
+    }
+  }
+}
+
+// Six in ten engines are replaced in steps while lists are silent; new ones come under ids of their own, some
+// at an address that was another's.
+TEST(Fleet, ASilentListIntoARelease) {
+  for (const std::uint32_t n : {60u, 200u}) {
+    Fleet f(settings_of(n), loads_of(300), 11);
+    for (int i = 0; i < 20; ++i) f.add();
+    f.run(8 * kSecond);
+    for (EngineId old = 0; old < 12; ++old) {
+      const Time drains = 8 * kSecond + (old / 4) * 5 * kSecond / 2;
+      f.at(drains, [&f, old] {
+        const auto id = f.add(f.now);  // it starts as the former one drains
+        f.retire(old);
+        if (f.now >= 16 * kSecond) f.publish(kSecond / 2);
+        f.at(f.now + (old % 3 == 0 ? 7 : 4) * kSecond, [&f, old, id] {
+          f.end(old);
+          std::erase_if(f.list, [old](auto& e) { return e.id == old; });
+          if (old % 2 == 0) f.reach[old] = f.reach[id];  // who was not told meets the new one there
+          if (f.now >= 16 * kSecond) f.publish(kSecond / 2);
+        });
+      });
+    }
+    f.at(16 * kSecond, [&f] { f.publish(kSecond / 2); });
+    f.run(45 * kSecond);
+    f.drain();
+    EXPECT_LT(shares(f, 8 * kSecond, 30 * kSecond).late, 0.05);
+    EXPECT_LT(shares(f, 8 * kSecond, 30 * kSecond).lost, 0.01);
+    EXPECT_LT(shares(f, 30 * kSecond, 45 * kSecond).late, 0.005);
+    expect_rules_kept(f);
+  }
+}
+
+}  // namespace
+}  // namespace lemonshift
