Refuse early what its class's usual latency does not fit any more

Cause: time_left compared the time left with the run alone, as if engines were empty, when a query was placed, tried again or shed. Change: it takes the class's stretch, the running ratio of latency to run, which the module learns anyway. Test: a query with 120 ms left for 100 ms of work at a stretch of 1.5 is refused at once, one with 160 ms is sent.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -623,7 +623,9 @@
     if (r.over || r.out > 0) return;
     if ((now_ > latest_start(r) && cls(r).late_worth < kLateWorth) || !time_left(r)) finish(r, true);
   }
-  bool time_left(const Request& r) const { return now_ + static_cast<Time>(run_time(r)) <= r.give_up_at; }
+  bool time_left(const Request& r) const {  // for what its class takes of late
+    return now_ + static_cast<Time>(std::max(1.0, classes_[r.cls].stretch) * run_time(r)) <= r.give_up_at;
+  }
 
   // ---- health ---------------------------------------------------------------------------------------------
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -271,6 +271,22 @@
 
 // ---- rule 2: effects ----
 
+TEST(Answers, WhatItsClassesUsualLatencyDoesNotFitIsRefusedAtOnce) {
+  // An engine's work that comes too late anyway: its run alone would fit, but not what such runs take of
+  // late.
+  Script s(basic());
+  s.list(0, {engine(0)});
+  auto hopeless = query(1);
+  hopeless.give_up_at = 120'000;  // 100 ms of work, 1.5 times that before anything is known
+  auto fits = query(2);
+  fits.give_up_at = 160'000;
+  s.at(1, {hopeless, fits});
+  ASSERT_EQ(s.all<Refuse>().size(), 1u);
+  EXPECT_EQ(s.all<Refuse>()[0].request, 1u);
+  ASSERT_EQ(s.sends().size(), 1u);
+  EXPECT_EQ(s.sends()[0].request, 2u);
+}
+
 TEST(Effects, UnsafeIsNotRepeatedOnceItMayHaveRun) {
   for (const auto outcome :
        {Outcome::kError, Outcome::kConnectionLost, Outcome::kNoAnswer, Outcome::kCancelled}) {
