Datagrams between dispatchers: codec, proof, replay window, socket, and a bad network to test on

The dispatchers of a fleet are to agree on plans by datagrams of at most 256 bytes, which come late, never, twice or out of order, and perhaps from somebody else. src/peers encodes them (a full plan with two ballots and its proof takes 217 bytes), proves them with HMAC-SHA256, and hands on only what is a peer's, proved and new; all else is counted by reason. src/standins/relay loses, delays, doubles, swaps, cuts and resets.

--- a/src/net/fd.cpp
+++ b/src/net/fd.cpp
@@ -68,6 +68,10 @@
   return address;
 }
 
+Endpoint Endpoint::of(const sockaddr_in& address) {
+  return {ntohl(address.sin_addr.s_addr), ntohs(address.sin_port)};
+}
+
 std::optional<Endpoint> parse_endpoint(std::string_view text) {
   const auto colon = text.rfind(':');
   if (colon == text.npos) return std::nullopt;
@@ -101,6 +105,13 @@
   return fd && try_connect(fd, to.socket_address()) ? std::move(fd) : Fd();
 }
 
+Fd bind_udp(const Endpoint& at) {
+  Fd fd = new_socket(AF_INET, SOCK_DGRAM);
+  const sockaddr_in address = at.socket_address();
+  if (!fd || ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) return Fd();
+  return fd;
+}
+
 Fd listen_unix(const std::string& path) {
   const auto address = unix_address(path);
   return address ? bound_listener(new_socket(AF_UNIX, SOCK_STREAM), *address) : Fd();
--- a/src/net/fd.h
+++ b/src/net/fd.h
@@ -35,6 +35,7 @@
   auto operator<=>(const Endpoint&) const = default;
   std::string text() const;
   sockaddr_in socket_address() const;
+  static Endpoint of(const sockaddr_in& address);
 };
 
 // Reads 'a.b.c.d:port'. Names are not looked up: the platform's resolver finds nothing.
@@ -44,6 +45,7 @@
 Fd listen_tcp(const Endpoint& at);
 Fd connect_tcp(const Endpoint& to);
 Fd connect_udp(const Endpoint& to);
+Fd bind_udp(const Endpoint& at);
 Fd listen_unix(const std::string& path);
 Fd connect_unix(const std::string& path);
 // Takes over a descriptor that was inherited, if it is a TCP socket that listens; else empty, with errno set.
--- /dev/null
+++ b/src/peers/codec.h
@@ -0,0 +1,54 @@
+// A message between dispatchers as a datagram, and back. docs/peers.md has the layout and its sizes.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "decide/fleet/types.h"
+#include "peers/proof.h"
+#include "peers/reason.h"
+
+namespace rookproxy::peers {
+
+namespace fleet = decide::fleet;
+
+constexpr std::size_t kMostBytes = 256;  // the platform's bound for a datagram between dispatchers
+
+struct Envelope {
+  fleet::MemberId sender = 0;
+  fleet::Incarnation incarnation = 0;
+  std::uint64_t sequence = 0;  // of the sender's process, one more each datagram
+  fleet::Body body;
+  std::vector<fleet::Rumour> rumours;
+  bool operator==(const Envelope&) const = default;
+};
+
+class Codec {
+ public:
+  // `fleet`: a fingerprint of the list of peers, since members are known by their places in it. `self`: our
+  // own place, out of that many members.
+  Codec(std::uint32_t fleet, fleet::MemberId self, std::size_t members, const std::vector<std::string>& keys);
+
+  // At most kMostBytes, or why not. `to` nobody: for every member. Who it is for is under the proof, so that
+  // a datagram for one can't be shown to another.
+  std::variant<std::string, Reason> encode(const Envelope& envelope, std::optional<fleet::MemberId> to) const;
+  // Looks into nothing that is not proved, where a key is set; throws nothing, whatever comes.
+  std::variant<Envelope, Reason> decode(std::string_view bytes) const;
+  // How many rumours fit beside this envelope's body, whatever they are; those that it has don't count.
+  std::size_t room_for_rumours(Envelope envelope) const;
+
+ private:
+  std::string under_proof(std::optional<fleet::MemberId> to) const;
+  std::optional<Reason> fault_of(const Envelope& envelope) const;
+
+  std::uint32_t fleet_;
+  fleet::MemberId self_;
+  std::size_t members_;
+  Prover prover_;
+};
+
+}  // namespace rookproxy::peers
--- /dev/null
+++ b/src/peers/reason.h
@@ -0,0 +1,78 @@
+// Why a datagram moved nothing, whichever way it went.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace rookproxy::peers {
+
+enum class Reason : std::uint8_t {
+  // Of the bytes, before anything in them is believed.
+  kEmpty,
+  kTooLong,
+  kVersion,
+  kNoProof,
+  kUnwantedProof,
+  kForged,
+  // Of what they say.
+  kUnreadable,
+  kTrailing,
+  kForeignFleet,
+  kUnknownType,
+  kShape,
+  kRange,
+  kTimes,
+  kTooMany,
+  kTwice,
+  kUnknownMember,
+  // Of where they came from and when.
+  kStranger,
+  kOtherSender,
+  kOwn,
+  kSeen,
+  kTooOld,
+  kFormer,
+  kAhead,
+  // Of what was to be sent.
+  kOverBudget,
+  kBlocked,
+  kNotSent,
+  kClosed,
+};
+
+inline constexpr std::array<std::string_view, 27> kReasonWords = {
+    "empty",
+    "longer than 256 bytes",
+    "of a version that this dispatcher does not know",
+    "without proof, though a key is set here",
+    "with proof, though no key is set here",
+    "forged: proved with none of our keys, or altered",
+    "unreadable: no CBOR",
+    "bytes behind the message",
+    "of another fleet: the list of peers differs there",
+    "of an unknown type",
+    "not in the shape of its type",
+    "a number out of its range",
+    "a time that no plan or lease has",
+    "more zones or retirements than a plan may have",
+    "a zone or site twice in one plan",
+    "about a member that is not configured",
+    "from an address that is not in peers",
+    "says that it is another member than its address is",
+    "our own",
+    "seen before",
+    "too late: older than the window",
+    "of a former process or incarnation",
+    "of an incarnation that begins in the future: a clock is wrong, or it is forged",
+    "over the budget of bytes a second",
+    "the kernel's buffer is full",
+    "the kernel would not send it",
+    "the socket is not open",
+};
+constexpr std::size_t kReasons = kReasonWords.size();
+static_assert(kReasons == static_cast<std::size_t>(Reason::kClosed) + 1);
+
+constexpr std::string_view words(Reason reason) { return kReasonWords[static_cast<std::size_t>(reason)]; }
+
+}  // namespace rookproxy::peers
