--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -59,6 +59,22 @@
   return limits;
 }
 
+FleetSettings fleet_settings(const Config& config) {
+  FleetSettings settings;
+  settings.peers.peer_listen = config.peers->listen;
+  for (const auto& [name, at] : config.peers->peers) settings.peers.peers.push_back(at);
+  settings.peers.self = static_cast<decide::fleet::MemberId>(config.fleet->self);
+  settings.peers.peers_all = config.peers->all;
+  settings.peers.bytes_per_second = config.fleet->bytes_per_second;
+  for (const auto& file : {config.fleet->key, config.fleet->former_key}) {
+    if (!file.empty()) settings.peers.keys.push_back(peers::read_peer_key(file));
+  }
+  settings.period = config.fleet->period;
+  settings.lease = config.fleet->lease;
+  settings.fingerprint = plan_fingerprint(config.zones);
+  return settings;
+}
+
 // A starting process waits so long for the directory; what it was told at its start has to do then.
 constexpr Duration kDirectoryWait = std::chrono::milliseconds(500);
 constexpr Duration kLookForSiblings = std::chrono::milliseconds(100);
@@ -152,6 +168,7 @@
     ops_ = std::make_unique<OpsServer>(loop, listener_at(*config.ops, "ops"), *this, callers);
     log.line(Level::kNotice, "start", "answering operators", {{"port", std::to_string(ops_->port())}});
   }
+  if (config.fleet) fleet_ = std::make_unique<Fleet>(loop, log, fleet_settings(config), config.seed);
   resize();
   if (siblings_) share_with_siblings();
   become_ready(loop.now() + kDirectoryWait);
@@ -270,6 +287,9 @@
   };
   if (in_tls(fresh) != in_tls(config_))
     throw ConfigError("tls", "which fronts have it is not changed in service");
+  if (fresh.fleet.has_value() != config_.fleet.has_value())
+    throw ConfigError("fleet", fresh.fleet ? "needs a restart to begin" : "missing, and it was there before");
+  if (fleet_) fleet_->change(fleet_settings(fresh));
   auto watch = watch_files(fresh);
   take_credentials(fresh);  // the last that may be turned down
   watch_ = std::move(watch);
@@ -296,6 +316,7 @@
   if (std::exchange(draining_, true)) return;
   log_.line(Level::kNotice, "stop", "draining", {{"open", std::to_string(core_.open_requests())}});
   if (siblings_) siblings_->say_ready(false);
+  if (fleet_) fleet_->leave();
   if (frames_) frames_->drain();
   if (mysql_ && !config_.mysql->passed_socket) mysql_->drain();
   drained_at_ = loop_.now();
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -8,6 +8,7 @@
 #include "config/config.h"
 #include "core/dispatcher.h"
 #include "directory/directory.h"
+#include "fleet/fleet.h"
 #include "front/frames.h"
 #include "front/mysql.h"
 #include "link/lines.h"
@@ -32,6 +33,9 @@
   std::string why_not_ready() const override;
   const Figures& figures() const override { return figures_; }
   Gauges gauges() const override { return core_.gauges(); }
+  std::vector<Fleet::Figure> more_figures() const override {
+    return fleet_ ? fleet_->figures() : std::vector<Fleet::Figure>();
+  }
   void take_over(Config config);
   std::unique_ptr<FileWatch> watch_files(const Config& config);
   void take_credentials(const Config& config);
@@ -51,6 +55,7 @@
   std::unique_ptr<FileWatch> watch_;
   std::unique_ptr<Pool> links_;
   std::unique_ptr<DnsDirectory> directory_;
+  std::unique_ptr<Fleet> fleet_;  // where the dispatchers act as one
   std::unique_ptr<FramesFront> frames_;
   std::unique_ptr<MysqlFront> mysql_;
   std::unique_ptr<OpsServer> ops_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -313,6 +313,7 @@
       throw ConfigError("tls.mysql", "off, and tokens are taken in TLS only");
     }
   }
+  if (reader.has("fleet")) config.fleet = read_fleet(reader.need("fleet"), config);
   if (reader.has("log")) config.log = read_log_config(reader.table("log"));
   if (!config.listen && !config.mysql) throw ConfigError("listen", "missing, and there is no other front");
   if (config.known.empty() && !config.nameserver)
@@ -331,8 +332,10 @@
 // Files that an operator's file names without a folder's root lie beside it.
 void name_files_from(json& document, const std::string& operators) {
   const auto folder = std::filesystem::path(operators).parent_path();
-  for (const auto& [section, keys] : std::map<std::string, std::vector<std::string>>{
-           {"access", {"keys", "revoked"}}, {"tls", {"certificate", "key", "client_ca", "crl"}}}) {
+  for (const auto& [section, keys] :
+       std::map<std::string, std::vector<std::string>>{{"access", {"keys", "revoked"}},
+                                                       {"tls", {"certificate", "key", "client_ca", "crl"}},
+                                                       {"fleet", {"key", "former_key"}}}) {
     if (!document.contains(section) || !document[section].is_object()) continue;
     for (const auto& key : keys) {
       json& at = document[section];
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -40,6 +40,14 @@
   enum class Mysql { kOff, kOptional, kRequired } mysql = Mysql::kOff;
 };
 
+// The dispatchers act as one, [fleet].
+struct FleetConfig {
+  std::string key, former_key;  // files; empty: none
+  std::uint32_t bytes_per_second = 64 * 1024;
+  Duration period = std::chrono::milliseconds(500), lease = std::chrono::seconds(4);
+  std::size_t self = 0;  // our place among the peers
+};
+
 struct MysqlLinkConfig {
   std::string user, password, schema;
 };
@@ -92,6 +100,7 @@
   std::optional<MysqlFrontConfig> mysql;
   std::optional<access::AccessSettings> access;  // absent: callers are not identified
   std::optional<TlsConfig> tls;
+  std::optional<FleetConfig> fleet;                       // absent: every dispatcher for itself
   Duration access_poll = std::chrono::milliseconds(250);  // how often its files are looked at
   LogConfig log;
   std::shared_ptr<const nlohmann::json> document;  // as it was read
@@ -117,6 +126,8 @@
 std::optional<PeersConfig> read_peers(const nlohmann::json& document);
 // Those after a change of settings: an address that is listened at stays, and unusable ones change nothing.
 std::optional<PeersConfig> peers_after(const Config& running, const Config& fresh);
+// The section [fleet], of a configuration whose settings and peers have been read. Throws ConfigError.
+FleetConfig read_fleet(const nlohmann::json& section, const Config& config);
 // Checks a section against the published schema (src/config/*.schema.json); throws ConfigError with the key.
 void check_schema(const nlohmann::json& section, const std::string& name);
 
--- a/src/ops/ops.cpp
+++ b/src/ops/ops.cpp
@@ -57,7 +57,12 @@
     const std::string why = source.why_not_ready();
     return why.empty() ? "+OK ready" : "-ERR not ready: " + why;
   }
-  if (call == "METRICS") return "+OK\n" + figures_text(source.figures(), source.gauges()) + ".";
+  if (call == "METRICS") {
+    std::string text = "+OK\n" + figures_text(source.figures(), source.gauges());
+    for (const auto& [name, value] : source.more_figures())
+      text += "svc." + name + "=" + std::to_string(value) + "\n";
+    return text + ".";
+  }
   return "-ERR unknown call; STATUS and METRICS are answered here";
 }
 
--- a/src/ops/ops.h
+++ b/src/ops/ops.h
@@ -4,6 +4,8 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "core/figures.h"
 #include "net/stream.h"
@@ -17,6 +19,8 @@
   virtual std::string why_not_ready() const = 0;
   virtual const Figures& figures() const = 0;
   virtual Gauges gauges() const = 0;
+  // Of parts that may be off: their names and values, in the order in which they are shown.
+  virtual std::vector<std::pair<std::string, std::uint64_t>> more_figures() const { return {}; }
 
  protected:
   ~OpsSource() = default;
