Fleet plan: one register that a majority of the configured dispatchers changes

Needed for what no dispatcher may decide alone: zones that return, retirements. Single-decree Paxos an epoch without a disk: a process that forgot its votes stays out of the instances it may have voted in; the header has the argument.

--- a/src/decide/fleet/types.h
+++ b/src/decide/fleet/types.h
@@ -137,12 +137,15 @@
 struct Tell {  // the answer, where the epoch is the asker's or less; a newer plan comes as `Chosen` beside it
   std::uint32_t number = 0;
   std::uint32_t epoch = 0;
-  bool votes = false;  // false: it has started or woken lately and waits
+  bool votes = false;  // in the epoch after this one; false: it has started lately
+  // With `votes`: the last epoch in which it may have voted, before a restart of its own too.
+  std::uint32_t voted = 0;
   bool operator==(const Tell&) const = default;
 };
 struct Lease {  // a majority has told the sender that it holds this epoch
   std::uint32_t epoch = 0;
-  Duration left{};  // from the sending on
+  Duration left{};           // from the sending on
+  std::uint32_t number = 0;  // of the question that a majority answered, and the receiver too
   bool operator==(const Lease&) const = default;
 };
 
--- /dev/null
+++ b/tests/dispatch/fleet_model.cpp
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
