--- a/src/decide/fleet/agreement.cpp
+++ b/src/decide/fleet/agreement.cpp
@@ -530,14 +530,11 @@
 
 // ---- for the search of all states -------------------------------------------------------------------------
 
-std::string Agreement::encode() const {
+std::string Agreement::encode(Duration far) const {
   std::string out;
-  const auto left = [&](Since then) {
-    put(out, static_cast<std::uint64_t>(std::max(Duration(0), then - now_).count()));
-  };
-  const auto gone = [&](Since then, Duration most) {
-    put(out, static_cast<std::uint64_t>(std::min(most, now_ - then).count()));
-  };
+  const auto span = [&](Duration it) { put(out, static_cast<std::uint64_t>(std::clamp(it, Duration(0), far).count())); };
+  const auto left = [&](Since then) { span(then - now_); };
+  const auto gone = [&](Since then, Duration most) { span(std::min(most, now_ - then)); };
   put(out, settings_.self);
   put(out, settings_.life);
   put(out, draws_);
--- a/tests/dispatch/fleet_model.cpp
+++ b/tests/dispatch/fleet_model.cpp
@@ -1,1 +1,307 @@
+// All states that three members can reach which run the real Agreement, within stated bounds: two proposals, so many
+// timeouts, so many restarts, and messages in any order. A message need never arrive, so any number lost and any
+// partition, for any time, are among them. Lamport's invariants are checked in each state.
 #include <catch2/catch.hpp>
+#include <array>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <tuple>
+#include <type_traits>
+#include <unordered_map>
+#include <unordered_set>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "decide/fleet/agreement.h"
+
+namespace rookproxy::decide::fleet {
+namespace {
+
+constexpr std::size_t kMembers = 3;
+constexpr Time kStart{Duration(1'700'000'000'000'000)};
+constexpr Duration kFar(1000);  // timers beyond are no events here
+constexpr std::uint32_t kTimer = 1, kPropose = 2, kRestart = 3, kMessages = 4;  // events of one member
+
+struct Bounds {
+  std::uint32_t timers, restarts;
+  std::uint32_t last_epoch;  // that is proposed
+  bool wait_after_restart;
+};
+
+struct Envelope {
+  MemberId from, to;
+  Incarnation life;
+  Body body;
+  bool operator==(const Envelope&) const = default;
+};
+
+// An acceptance, by any life: under one ballot there is one plan.
+struct Vote {
+  std::uint32_t epoch, round, member, mark, by;  // by: bits of members
+  bool same(const Vote& other) const {
+    return std::tie(epoch, round, member, mark) == std::tie(other.epoch, other.round, other.member, other.mark);
+  }
+};
+
+// Bytes alone, all of which count: it is hashed as it stands.
+struct State {
+  // All that were ever sent, but for answers that are of no use any more: any of them may come at any time, and
+  // again. So late, doubled, reordered and lost messages are all there without an event of their own.
+  std::array<std::uint64_t, 10> sent;
+  std::array<std::uint32_t, kMembers> local;
+  std::uint32_t timers, restarts, proposed;
+  // What no member knows: who accepted what, and in which epochs (bits) this and earlier lives voted.
+  std::array<std::uint32_t, kMembers> voted, voted_before, life;
+  std::array<Vote, 8> votes;
+  std::uint32_t zero;
+
+  void send(std::uint32_t message) { sent.at(message / 64) |= std::uint64_t{1} << message % 64; }
+  void drop(std::uint32_t message) { sent[message / 64] &= ~(std::uint64_t{1} << message % 64); }
+  bool has(std::uint32_t message) const { return (sent.at(message / 64) >> message % 64 & 1) != 0; }
+};
+static_assert(std::has_unique_object_representations_v<State>);
+
+class Search {
+ public:
+  explicit Search(Bounds bounds) : bounds_(bounds) {
+    seen_.reserve(1 << 22);
+    // A whole cold start with nothing lost comes first: all vote, and know the settings.
+    std::array<std::unique_ptr<Agreement>, kMembers> members;
+    for (MemberId i = 0; i < kMembers; ++i) members[i] = std::make_unique<Agreement>(settings(i, 0), FleetPlan{}, kStart);
+    Time now = kStart;
+    for (int step = 0; step < 100; ++step, now += Duration(1)) {
+      std::vector<Envelope> mail;
+      const auto take = [&](MemberId from, const std::vector<Outgoing>& out) {
+        for (const auto& one : out) mail.push_back({from, one.to, 0, one.body});
+      };
+      for (MemberId i = 0; i < kMembers; ++i) take(i, members[i]->on_time(now));
+      for (std::size_t k = 0; k < mail.size(); ++k) {
+        const auto one = mail[k];
+        take(one.to, members[one.to]->receive(now, one.from, one.life, one.body));
+      }
+    }
+    for (MemberId i = 0; i < kMembers; ++i) {
+      REQUIRE(members[i]->votes());
+      first_.local[i] = intern(std::move(members[i]));
+    }
+    first_.timers = bounds.timers;
+    first_.restarts = bounds.restarts;
+  }
+
+  // Depth first; the count does not depend on the order, since a state holds all that is yet to come.
+  void run() {
+    visit(first_);
+    while (!stack_.empty() && fault_.empty()) {
+      const State state = stack_.back();
+      stack_.pop_back();
+      for (std::size_t word = 0; word < state.sent.size(); ++word) {
+        for (auto bits = state.sent[word]; bits != 0; bits &= bits - 1) {
+          const auto message = static_cast<std::uint32_t>(word * 64 + static_cast<std::size_t>(__builtin_ctzll(bits)));
+          step(state, envelopes_[message].to, kMessages + message);
+        }
+      }
+      for (MemberId i = 0; i < kMembers; ++i) {
+        if (state.timers > 0) step(state, i, kTimer);
+        if (i < 2 && (state.proposed & 1U << i) == 0) step(state, i, kPropose);
+        if (state.restarts > 0) step(state, i, kRestart);
+      }
+    }
+  }
+  std::size_t states() const { return seen_.size(); }
+  std::size_t locals() const { return locals_.size(); }
+  std::size_t envs() const { return envelopes_.size(); }
+  std::size_t transitions() const { return transitions_; }
+  const std::string& fault() const { return fault_; }
+  const std::map<std::string, std::size_t>& reached() const { return reached_; }
+
+ private:
+  struct Result {
+    std::uint32_t local;
+    std::vector<std::uint32_t> sent;
+    bool possible;
+  };
+
+  Agreement::Settings settings(MemberId self, Incarnation life) const {
+    Agreement::Settings s;
+    s.self = self;
+    s.members = kMembers;
+    s.life = life;
+    s.round_span = s.ask_every = s.most_ask_every = s.backoff = s.most_backoff = Duration(1);
+    s.epoch_span = Duration(0);
+    s.cold_wait = s.ask_span = Duration(5);
+    s.takeover_pause = Duration(1);
+    s.renew_every = s.lease_span = s.propose_span = Duration(1'000'000'000'000);
+    s.wait_after_restart = bounds_.wait_after_restart;
+    return s;
+  }
+
+  std::uint32_t intern(std::unique_ptr<Agreement> member) {
+    const auto [at, fresh] = local_ids_.emplace(member->encode(kFar), static_cast<std::uint32_t>(locals_.size()));
+    if (fresh) {
+      locals_.push_back(std::move(member));
+      results_.emplace_back();
+    }
+    return at->second;
+  }
+  std::uint32_t intern(const Envelope& envelope) {
+    auto& same_kind = envelope_ids_[{envelope.from, envelope.to, envelope.body.index()}];
+    for (const auto id : same_kind) {
+      if (envelopes_[id] == envelope) return id;
+    }
+    same_kind.push_back(static_cast<std::uint32_t>(envelopes_.size()));
+    envelopes_.push_back(envelope);
+    return same_kind.back();
+  }
+
+  // What one event does to one member: the real class runs once for each pair.
+  const Result& result(std::uint32_t local, MemberId i, std::uint32_t event, Incarnation life) {
+    auto& known = results_[local];
+    if (known.size() <= event) known.resize(event + 32);
+    if (known[event]) return *known[event];
+    auto member = std::make_unique<Agreement>(*locals_[local]);
+    std::vector<Outgoing> out;
+    bool possible = true;
+    if (event == kTimer) {
+      possible = member->due() < member->last_time() + kFar;
+      if (possible) out = member->on_time(member->due());
+    } else if (event == kPropose) {
+      FleetPlan plan;
+      plan.epoch = member->epoch() + 1;
+      plan.fingerprint = 10U + i;
+      possible = plan.epoch <= bounds_.last_epoch &&
+                 member->propose(member->last_time(), plan, out) == ProposeAnswer::kTaken;
+    } else if (event == kRestart) {
+      member = std::make_unique<Agreement>(settings(i, ++life), FleetPlan{}, member->last_time());
+      out = member->on_time(member->due());
+    } else {
+      const auto& one = envelopes_[event - kMessages];
+      out = member->receive(member->last_time(), one.from, one.life, one.body);
+    }
+    auto made = std::make_unique<Result>();
+    made->possible = possible;
+    made->local = possible ? intern(std::move(member)) : local;
+    for (const auto& one : out) made->sent.push_back(intern(Envelope{i, one.to, life, one.body}));
+    results_[local][event] = std::move(made);
+    return *results_[local][event];
+  }
+
+  void step(const State& before, MemberId i, std::uint32_t event) {
+    const auto& made = result(before.local[i], i, event, before.life[i]);
+    if (!made.possible) return;
+    ++transitions_;
+    const bool same = made.local == before.local[i];
+    if (same && event >= kMessages &&
+        std::all_of(made.sent.begin(), made.sent.end(), [&](auto id) { return before.has(id); })) {
+      return;
+    }
+    State state = before;
+    state.local[i] = made.local;
+    if (event == kTimer) --state.timers;
+    if (event == kPropose) state.proposed |= 1U << i;
+    if (event == kRestart) {
+      --state.restarts;
+      ++state.life[i];
+      state.voted_before[i] |= state.voted[i];
+      state.voted[i] = 0;
+    }
+    if (!same) note(*locals_[before.local[i]], *locals_[made.local], i, state);
+    if (!fault_.empty()) return;
+    for (const auto id : made.sent) {
+      if (!useless(state, id)) state.send(id);
+    }
+    for (std::size_t word = 0; !same && word < state.sent.size(); ++word) {
+      for (auto bits = state.sent[word]; bits != 0; bits &= bits - 1) {
+        const auto id = static_cast<std::uint32_t>(word * 64 + static_cast<std::size_t>(__builtin_ctzll(bits)));
+        if (envelopes_[id].to == i && useless(state, id)) state.drop(id);
+      }
+    }
+    visit(state);
+  }
+
+  // An answer that changes nothing where it goes never will: its round or question is over, or has counted it.
+  bool useless(const State& state, std::uint32_t id) {
+    const auto& one = envelopes_[id];
+    if (!std::holds_alternative<Promise>(one.body) && !std::holds_alternative<Refusal>(one.body) &&
+        !std::holds_alternative<Accepted>(one.body) && !std::holds_alternative<Tell>(one.body) &&
+        !(state.restarts == 0 && std::holds_alternative<Chosen>(one.body))) {
+      return false;
+    }
+    const auto to = one.to;
+    const auto& after = result(state.local[to], to, kMessages + id, state.life[to]);
+    return after.local == state.local[to] && after.sent.empty();
+  }
+
+  // The invariants, at what has changed.
+  void note(const Agreement& before, const Agreement& after, MemberId i, State& state) {
+    if (after.voted_in_life() != 0) state.voted[i] |= 1U << after.voted_in_life();
+    if ((state.voted[i] & state.voted_before[i]) != 0) fault_ = "voted in two lives in one epoch";
+    if (after.accepted() && (before.accepted() != after.accepted() || before.epoch() != after.epoch())) {
+      const Vote vote{after.epoch() + 1, after.accepted()->round, after.accepted()->member,
+                      after.accepted_plan()->fingerprint, 1U << i};
+      // In order, so that the way to a state leaves no trace in it.
+      const auto less = [](const Vote& a, const Vote& b) {
+        return std::tie(a.epoch, a.round, a.member, a.mark) < std::tie(b.epoch, b.round, b.member, b.mark);
+      };
+      const auto end = std::find_if(state.votes.begin(), state.votes.end(), [](const Vote& it) { return it.by == 0; });
+      const auto at = std::lower_bound(state.votes.begin(), end, vote, less);
+      if (at != end && at->same(vote)) {
+        at->by |= vote.by;
+      } else {
+        REQUIRE(end != state.votes.end());
+        std::move_backward(at, end, end + 1);
+        *at = vote;
+      }
+    }
+    std::array<std::uint32_t, 16> chosen{};
+    for (const auto& vote : state.votes) {
+      if (__builtin_popcount(vote.by) < 2) continue;
+      if (chosen.at(vote.epoch) != 0 && chosen[vote.epoch] != vote.mark) fault_ = "two plans chosen in one epoch";
+      chosen[vote.epoch] = vote.mark;
+    }
+    if (after.epoch() != 0 && chosen.at(after.epoch()) != after.plan().fingerprint) {
+      fault_ = "a plan is known that was not chosen";
+    }
+    if (after.figures().contradictions != 0) fault_ = "two plans known of one epoch";
+    if (after.epoch() < before.epoch() && state.life[i] == 0) fault_ = "an epoch went back";
+    if (after.epoch() == 2) ++reached_["epoch 2"];
+    if (state.life[i] != 0 && after.voted_in_life() != 0) ++reached_["votes in a second life"];
+    if (state.votes[2].by != 0 && state.votes[2].epoch == 1) ++reached_["three ballots accepted"];
+  }
+
+  void visit(const State& state) {
+    if (seen_.insert(XXH3_64bits(&state, sizeof state)).second) stack_.push_back(state);
+  }
+
+  Bounds bounds_;
+  State first_{};
+  std::vector<State> stack_;
+  std::unordered_set<std::uint64_t> seen_;
+  std::size_t transitions_ = 0;
+  std::string fault_;
+  std::map<std::string, std::size_t> reached_;
+  std::vector<std::unique_ptr<Agreement>> locals_;
+  std::unordered_map<std::string, std::uint32_t> local_ids_;
+  std::vector<Envelope> envelopes_;
+  std::map<std::tuple<MemberId, MemberId, std::size_t>, std::vector<std::uint32_t>> envelope_ids_;
+  std::vector<std::vector<std::unique_ptr<Result>>> results_;
+};
+
+TEST_CASE("fleet model: explore") {
+  for (std::uint32_t e = 1; e < 3; ++e)
+  for (std::uint32_t t = 0; t < 4; ++t) {
+    for (std::uint32_t r = 0; r < 2; ++r) {
+      const auto t0 = std::chrono::steady_clock::now();
+      Search search({t, r, e, true});
+      search.run();
+      std::printf("epochs %u timers %u restarts %u: %zu states, %zu transitions, %zu locals %zu env '%s' %.1f s\n", e, t, r, search.states(),
+                  search.transitions(), search.locals(), search.envs(), search.fault().c_str(), std::chrono::duration<double>(std::chrono::steady_clock::now() - t0).count());
+      for (auto& [k, v] : search.reached()) std::printf("   %s %zu\n", k.c_str(), v);
+      std::fflush(stdout);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace rookproxy::decide::fleet
