--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fleet.h"
 
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <algorithm>
