Fleet: rumours ride, names are proposed until in force, reloads are whole or not at all

Rumours never left: the socket asked for them without their receiver and Fleet gave none. A SIGHUP's other zones were proposed once, at that moment, or never. Keys were taken before files that may still be turned down. The deciders' times did not follow period_ms and lease_ms: under 300 ms and over 2 s no dispatcher started. Questions' numbers were those of the process before, under the same seed. Figures of dropped datagrams have short names.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -59,6 +59,8 @@
   return limits;
 }
 
+}  // namespace
+
 FleetSettings fleet_settings(const Config& config) {
   FleetSettings settings;
   settings.peers.peer_listen = config.peers->listen;
@@ -66,15 +68,24 @@
   settings.peers.self = static_cast<decide::fleet::MemberId>(config.fleet->self);
   settings.peers.peers_all = config.peers->all;
   settings.peers.bytes_per_second = config.fleet->bytes_per_second;
-  for (const auto& file : {config.fleet->key, config.fleet->former_key}) {
-    if (!file.empty()) settings.peers.keys.push_back(peers::read_peer_key(file));
+  const std::pair<const char*, const std::string&> files[] = {{"fleet.key", config.fleet->key},
+                                                              {"fleet.former_key", config.fleet->former_key}};
+  for (const auto& [key, file] : files) {
+    try {
+      if (!file.empty()) settings.peers.keys.push_back(peers::read_peer_key(file));
+    } catch (const peers::KeyError& fault) {
+      throw ConfigError(key, fault.what());
+    }
   }
   settings.period = config.fleet->period;
   settings.lease = config.fleet->lease;
-  settings.fingerprint = plan_fingerprint(config.zones);
+  settings.zones = config.zones;
+  membership_of(settings);  // says what is wrong
   return settings;
 }
 
+namespace {
+
 // A starting process waits so long for the directory; what it was told at its start has to do then.
 constexpr Duration kDirectoryWait = std::chrono::milliseconds(500);
 constexpr Duration kLookForSiblings = std::chrono::milliseconds(100);
@@ -269,8 +280,8 @@
   }
 }
 
-// Everything was read and checked before; but for the files of [access] and [tls] nothing can be turned down
-// here.
+// Everything was read and checked before; but for the files of [access], [tls] and [fleet] nothing can be
+// turned down here.
 void App::take_over(Config fresh) {
   // The process keeps what it was started with; so do its shares.
   fresh.listen = config_.listen;
@@ -289,9 +300,11 @@
     throw ConfigError("tls", "which fronts have it is not changed in service");
   if (fresh.fleet.has_value() != config_.fleet.has_value())
     throw ConfigError("fleet", fresh.fleet ? "needs a restart to begin" : "missing, and it was there before");
-  if (fleet_) fleet_->change(fleet_settings(fresh));
+  std::optional<Fleet::Change> of_fleet;
+  if (fleet_) of_fleet = fleet_->prepare(fleet_settings(fresh));
   auto watch = watch_files(fresh);
   take_credentials(fresh);  // the last that may be turned down
+  if (of_fleet) fleet_->take(std::move(*of_fleet));
   watch_ = std::move(watch);
   if (!mysql_) fresh.mysql.reset();
   if (mysql_) fresh.mysql->passed_socket = config_.mysql->passed_socket;
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -18,6 +18,9 @@
 
 namespace rookproxy {
 
+// Of a configuration with [fleet]; reads the keys' files. Throws SettingsError.
+FleetSettings fleet_settings(const Config& config);
+
 class App final : public OpsSource {
  public:
   App(Loop& loop, Log& log, const Config& config);
--- a/src/config/fleet_config.cpp
+++ b/src/config/fleet_config.cpp
@@ -38,6 +38,9 @@
     }
     fleet.self = static_cast<std::size_t>(own - peers.begin());
   }
+  if (fleet.self >= peers.size())
+    throw ConfigError("settings.ordinal", std::to_string(fleet.self) + ", and `peers` has places 0 to " +
+                                              std::to_string(peers.size() - 1));
   return fleet;
 }
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <cstring>
 #include <set>
 
@@ -20,11 +21,39 @@
 
 constexpr std::array<std::string_view, 3> kStandings = {"alone", "careful", "whole"};
 
+FleetPlan settings_plan(std::uint32_t fingerprint) {
+  FleetPlan plan;
+  plan.fingerprint = fingerprint;
+  return plan;
+}
+
+Incarnation incarnation_at(Time now) { return static_cast<Incarnation>(now.time_since_epoch().count()); }
+
+// Another at each member and in each life, though operators give many processes the same one: the numbers of
+// a life's questions must not be those of its predecessor.
+std::uint64_t seed_of(std::uint64_t seed, MemberId self, Incarnation life) {
+  const std::uint64_t all[] = {seed, self, life};
+  return XXH3_64bits(all, sizeof all);
+}
+
+std::string list_of(const std::vector<std::string>& zones) {
+  std::string text;
+  for (const auto& zone : zones) text += (text.empty() ? "" : " ") + zone;
+  return text;
+}
+
+}  // namespace
+
 MembershipSettings membership_of(const FleetSettings& settings) {
   MembershipSettings of;
   of.self = settings.peers.self;
   of.members = settings.peers.peers.size();
   of.period = settings.period;
+  of.direct = settings.period * 3 / 10;
+  of.wake_after = 4 * settings.period;
+  of.alone_after = 20 * settings.period;
+  of.forget = 1200 * settings.period;
+  of.messages = std::max(of.messages, static_cast<int>(std::chrono::seconds(32) / settings.period));
   if (const std::string fault = of.fault(); !fault.empty()) throw SettingsError("fleet: " + fault);
   return of;
 }
@@ -37,19 +66,22 @@
   of.seed = seed;
   of.lease_span = settings.lease;
   of.renew_every = settings.lease / 4;
+  // A lease is renewed by an answer within ask_span, and once in that span at the most. A longer lease makes
+  // no answer slower, so none of these grows with it.
+  const auto at_most = [&](Duration& span, int part) { span = std::min(span, settings.lease / part); };
+  at_most(of.ask_span, 8);
+  at_most(of.round_span, 8);
+  at_most(of.epoch_span, 8);
+  at_most(of.ask_every, 8);
+  at_most(of.most_ask_every, 1);
+  at_most(of.takeover_pause, 20);
+  at_most(of.close_after, 4);
+  at_most(of.cold_wait, 2);
+  at_most(of.backoff, 80);
+  at_most(of.most_backoff, 5);
   return of;
 }
 
-FleetPlan settings_plan(const FleetSettings& settings) {
-  FleetPlan plan;
-  plan.fingerprint = settings.fingerprint;
-  return plan;
-}
-
-Incarnation incarnation_at(Time now) { return static_cast<Incarnation>(now.time_since_epoch().count()); }
-
-}  // namespace
-
 std::uint32_t plan_fingerprint(const std::vector<std::string>& names) {
   std::string text;
   for (const auto& name : names) text += name + '\n';
@@ -60,12 +92,14 @@
     : loop_(loop),
       log_(log),
       settings_(std::move(settings)),
-      membership_(membership_of(settings_), incarnation_at(loop.now()), seed, loop.now()),
-      agreement_(agreement_of(settings_, incarnation_at(loop.now()), seed), settings_plan(settings_),
-                 loop.now()),
-      socket_(loop, settings_.peers, incarnation_at(loop.now()),
-              [this](const peers::Envelope& envelope) { hear(envelope); }) {
-  socket_.open();
+      fingerprint_(plan_fingerprint(settings_.zones)),
+      life_(incarnation_at(loop.now())),
+      membership_(membership_of(settings_), life_, seed_of(seed, settings_.peers.self, life_), loop.now()),
+      agreement_(agreement_of(settings_, life_, seed_of(seed, settings_.peers.self, life_)),
+                 settings_plan(fingerprint_), loop.now()),
+      socket_(
+          loop, settings_.peers, life_, [this](const peers::Envelope& envelope) { hear(envelope); },
+          [this](MemberId to, std::size_t room) { return membership_.rumours(to, room); }) {
   log_.line(Level::kNotice, "fleet", "one of a fleet",
             {{"members", std::to_string(settings_.peers.peers.size())},
              {"self", std::to_string(settings_.peers.self)},
@@ -109,13 +143,22 @@
 }
 
 // Another list of zones is another meaning of the plan's numbers: it begins empty, and a majority takes it.
+// Of two dispatchers with different lists each has its plan in force once, the later stays: the first gave
+// way when it had seen its own.
 void Fleet::propose_names() {
-  if (reads_plan() || !agreement_.votes() || !agreement_.in_majority(loop_.now())) return;
-  if (agreement_.proposal() == Proposal::kOpen) return;
-  FleetPlan next = settings_plan(settings_);
+  if (!names_until_) return;
+  const Time now = loop_.now();
+  if (reads_plan()) return names_until_.reset();
+  if (now >= *names_until_) {
+    names_until_.reset();
+    return log_.line(Level::kWarning, "fleet", "no majority took our zones; send SIGHUP once it is there",
+                     {{"localities", list_of(settings_.zones)}});
+  }
+  if (!agreement_.votes() || !agreement_.in_majority(now) || agreement_.proposal() == Proposal::kOpen) return;
+  FleetPlan next = settings_plan(fingerprint_);
   next.epoch = agreement_.epoch() + 1;
   std::vector<Outgoing> out;
-  agreement_.propose(loop_.now(), next, out);
+  agreement_.propose(now, next, out);
   send(out);
 }
 
@@ -124,6 +167,7 @@
   const Time now = loop_.now();
   carry_out(membership_.tick(now));
   send(agreement_.on_time(now));
+  propose_names();
   look();
   wait();
 }
@@ -139,9 +183,14 @@
   }
   if (agreement_.epoch() != said_epoch_) {
     said_epoch_ = agreement_.epoch();
-    log_.line(Level::kNotice, "fleet",
-              reads_plan() ? "a plan is in force" : "a plan with other zones than ours",
-              {{"epoch", std::to_string(said_epoch_)}});
+    if (reads_plan()) {
+      log_.line(Level::kNotice, "fleet", "a plan is in force", {{"epoch", std::to_string(said_epoch_)}});
+    } else {
+      log_.line(
+          Level::kWarning, "fleet",
+          "a plan of other zones than ours is in force: set the same localities everywhere, then SIGHUP",
+          {{"epoch", std::to_string(said_epoch_)}, {"localities", list_of(settings_.zones)}});
+    }
   }
   const bool closed = !socket_.is_open();
   if (closed && !said_closed_ && !left_) {
@@ -159,16 +208,28 @@
   timer_ = loop_.at(std::max(due, loop_.now() + kLeastWait), [this] { turn(); });
 }
 
-void Fleet::change(const FleetSettings& fresh) {
+Fleet::Change Fleet::prepare(const FleetSettings& fresh) const {
   if (fresh.peers.peers != settings_.peers.peers || fresh.peers.self != settings_.peers.self ||
       fresh.peers.peer_listen != settings_.peers.peer_listen) {
     throw SettingsError(
         "peers: who the dispatchers of the fleet are is not changed in service; restart them");
   }
-  socket_.take_keys(fresh.peers.keys);
-  settings_.peers.keys = fresh.peers.keys;
-  settings_.fingerprint = fresh.fingerprint;
+  if (fresh.period != settings_.period || fresh.lease != settings_.lease ||
+      fresh.peers.bytes_per_second != settings_.peers.bytes_per_second) {
+    throw SettingsError(
+        "fleet: period_ms, lease_ms and bytes_per_second are not changed in service; restart the dispatcher");
+  }
+  return {fresh.zones, socket_.codec_with(fresh.peers.keys)};
+}
+
+void Fleet::take(Change change) {
+  socket_.take_codec(std::move(change.codec));
+  settings_.zones = std::move(change.zones);
+  fingerprint_ = plan_fingerprint(settings_.zones);
+  names_until_.reset();
+  if (!reads_plan()) names_until_ = loop_.now() + names_span();
   propose_names();
+  wait();
 }
 
 void Fleet::leave() {
@@ -196,6 +257,7 @@
       {"fleet.probes", of_members.probes},
       {"fleet.suspicions", of_members.suspicions},
       {"fleet.wakes", of_members.wakes},
+      {"fleet.held_back", of_members.held_back},
       {"fleet.rounds", of_plan.rounds_begun},
       {"fleet.epochs", of_plan.epochs},
       {"fleet.votes_withheld", of_plan.votes_withheld},
@@ -207,13 +269,9 @@
       {"fleet.received", of_socket.received},
       {"fleet.received_bytes", of_socket.received_bytes},
   };
-  // Those that happened: by a word each, as far as it goes.
-  for (std::size_t i = 0; i < peers::kReasons; ++i) {
-    if (of_socket.by_reason[i] > 0) {
-      std::string word(peers::kReasonWords[i].substr(0, peers::kReasonWords[i].find_first_of(":,")));
-      std::replace(word.begin(), word.end(), ' ', '_');
-      all.emplace_back("fleet.dropped." + word, of_socket.by_reason[i]);
-    }
+  for (std::size_t i = 0; i < peers::kReasons; ++i) {  // those that happened
+    if (of_socket.by_reason[i] > 0)
+      all.emplace_back("fleet.dropped." + std::string(peers::kReasonNames[i]), of_socket.by_reason[i]);
   }
   return all;
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -31,6 +31,7 @@
           if (!config.peers_fault.empty()) throw SettingsError(config.peers_fault);
           if (config.access) access::read_files(*config.access);
           if (config.tls) std::cout << tls::describe(*tls::ServerContext::load(config.tls->server)) << "\n";
+          if (config.fleet) fleet_settings(config);
           return report_fine();
         }
         log.set_host(config.name);
--- a/src/peers/reason.h
+++ b/src/peers/reason.h
@@ -70,9 +70,18 @@
     "the kernel would not send it",
     "the socket is not open",
 };
+// As operators read them in a figure's name: short, one a reason, and never worded anew.
+inline constexpr std::array<std::string_view, 27> kReasonNames = {
+    "empty",       "too_long", "version",     "no_proof",       "unwanted_proof", "forged",
+    "unreadable",  "trailing", "other_fleet", "unknown_type",   "shape",          "range",
+    "times",       "too_many", "twice",       "unknown_member", "stranger",       "other_sender",
+    "own",         "seen",     "too_old",     "former",         "ahead",          "over_budget",
+    "buffer_full", "not_sent", "closed"};
 constexpr std::size_t kReasons = kReasonWords.size();
 static_assert(kReasons == static_cast<std::size_t>(Reason::kClosed) + 1);
+static_assert(kReasonNames.size() == kReasons);
 
 constexpr std::string_view words(Reason reason) { return kReasonWords[static_cast<std::size_t>(reason)]; }
+constexpr std::string_view name_of(Reason reason) { return kReasonNames[static_cast<std::size_t>(reason)]; }
 
 }  // namespace rookproxy::peers
--- a/src/peers/socket.cpp
+++ b/src/peers/socket.cpp
@@ -106,8 +106,8 @@
   fd_.reset();
 }
 
-void PeerSocket::take_keys(const std::vector<std::string>& keys) {
-  codec_ = Codec(fleet_print(settings_.peers), settings_.self, settings_.peers.size(), keys);
+Codec PeerSocket::codec_with(const std::vector<std::string>& keys) const {
+  return Codec(fleet_print(settings_.peers), settings_.self, settings_.peers.size(), keys);
 }
 
 Reason PeerSocket::drop(Reason reason) {
@@ -183,9 +183,9 @@
   // Asked before the rumours, which count each telling: room for the longest there may be.
   if (!budget_.has(kMostBytes, is_urgent(body), loop_.now())) return drop(Reason::kOverBudget);
   Envelope envelope{settings_.self, incarnation_, ++sequence_, body, {}};
-  if (rumours_) {
-    const std::size_t room = codec_.room_for_rumours(envelope);
-    envelope.rumours = rumours_(room);
+  // No room: it is full, or can't be written at all, and then the encoding says why.
+  if (const std::size_t room = rumours_ && to ? codec_.room_for_rumours(envelope) : 0; room > 0) {
+    envelope.rumours = rumours_(*to, room);
     if (envelope.rumours.size() > room) envelope.rumours.resize(room);
   }
   const auto encoded = codec_.encode(envelope, to);
--- a/src/peers/socket.h
+++ b/src/peers/socket.h
@@ -39,8 +39,9 @@
  public:
   // An envelope that may be believed as far as it is proved. It must not destroy the socket: defer that.
   using Heard = std::function<void(const Envelope&)>;
-  // Rumours worth telling, the most urgent first; more than `room` are cut off.
-  using Rumours = std::function<std::vector<fleet::Rumour>(std::size_t room)>;
+  // Rumours worth telling that member, the most urgent first; more than `room` are cut off. Asked for only
+  // once the message is sure to be written: who is asked counts each telling.
+  using Rumours = std::function<std::vector<fleet::Rumour>(fleet::MemberId to, std::size_t room)>;
 
   // Throws SettingsError: on an empty or too long list, one with an address twice, or a place that is not in
   // it. `incarnation`: of this process, see types.h.
@@ -60,11 +61,15 @@
 
   // Each datagram goes once, or not at all; why not is counted and returned.
   std::optional<Reason> send(fleet::MemberId to, const fleet::Body& body);
-  // To all others: the reason is the last one's.
+  // To all others: the reason is the last one's. No rumours ride on a datagram for all: what is held against
+  // a member is for that one, and news would count as told though they went out once.
   std::optional<Reason> send_all(const fleet::Body& body);
 
-  // The keys files were changed: see PeerSettings::keys. Throws KeyError, and then nothing has changed.
-  void take_keys(const std::vector<std::string>& keys);
+  // The keys' files were changed: see PeerSettings::keys. In two steps, so that what may fail comes before
+  // anything is taken: the first throws KeyError, the second nothing.
+  Codec codec_with(const std::vector<std::string>& keys) const;
+  void take_codec(Codec codec) { codec_ = std::move(codec); }
+  void take_keys(const std::vector<std::string>& keys) { take_codec(codec_with(keys)); }
   void set_incarnation(fleet::Incarnation incarnation) { incarnation_ = incarnation; }
   const PeerFigures& figures() const { return figures_; }
 
--- a/tests/dispatch/peers.cpp
+++ b/tests/dispatch/peers.cpp
@@ -478,6 +478,7 @@
     CAPTURE(words(why));
     CHECK(figures.count(why) == 1);
   }
+  CHECK(std::set<std::string_view>(kReasonNames.begin(), kReasonNames.end()).size() == kReasons);
   CHECK(figures.handed_on == 4);
   REQUIRE(heard.size() == 4);
   CHECK(heard[0] == Envelope{1, now, 100, Ping{7}, {}});
@@ -504,7 +505,7 @@
   PeerSettings settings{{0x7f000001, 0}, {{0x7f000001, 1}, peer.at()}, 0, {}, {}, 2048};
   PeerSocket socket(
       loop, settings, 1, [](const Envelope&) {},
-      [](std::size_t room) {
+      [](MemberId, std::size_t room) {
         return std::vector<Rumour>(room + 3, Rumour{1, ~0ull, {}});
       });
   // All at one time of the loop's clock, so nothing is filled up between them.
