--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -59,6 +59,33 @@
   return limits;
 }
 
+}  // namespace
+
+FleetSettings fleet_settings(const Config& config) {
+  FleetSettings settings;
+  settings.peers.peer_listen = config.peers->listen;
+  for (const auto& [name, at] : config.peers->peers) settings.peers.peers.push_back(at);
+  settings.peers.self = static_cast<decide::fleet::MemberId>(config.fleet->self);
+  settings.peers.peers_all = config.peers->all;
+  settings.peers.bytes_per_second = config.fleet->bytes_per_second;
+  const std::pair<const char*, const std::string&> files[] = {{"fleet.key", config.fleet->key},
+                                                              {"fleet.former_key", config.fleet->former_key}};
+  for (const auto& [key, file] : files) {
+    try {
+      if (!file.empty()) settings.peers.keys.push_back(peers::read_peer_key(file));
+    } catch (const peers::KeyError& fault) {
+      throw ConfigError(key, fault.what());
+    }
+  }
+  settings.period = config.fleet->period;
+  settings.lease = config.fleet->lease;
+  settings.zones = config.zones;
+  membership_of(settings);  // says what is wrong
+  return settings;
+}
+
+namespace {
+
 // A starting process waits so long for the directory; what it was told at its start has to do then.
 constexpr Duration kDirectoryWait = std::chrono::milliseconds(500);
 constexpr Duration kLookForSiblings = std::chrono::milliseconds(100);
@@ -152,6 +179,7 @@
     ops_ = std::make_unique<OpsServer>(loop, listener_at(*config.ops, "ops"), *this, callers);
     log.line(Level::kNotice, "start", "answering operators", {{"port", std::to_string(ops_->port())}});
   }
+  if (config.fleet) fleet_ = std::make_unique<Fleet>(loop, log, fleet_settings(config), config.seed);
   resize();
   if (siblings_) share_with_siblings();
   become_ready(loop.now() + kDirectoryWait);
@@ -252,8 +280,8 @@
   }
 }
 
-// Everything was read and checked before; but for the files of [access] and [tls] nothing can be turned down
-// here.
+// Everything was read and checked before; but for the files of [access], [tls] and [fleet] nothing can be
+// turned down here.
 void App::take_over(Config fresh) {
   // The process keeps what it was started with; so do its shares.
   fresh.listen = config_.listen;
@@ -270,8 +298,13 @@
   };
   if (in_tls(fresh) != in_tls(config_))
     throw ConfigError("tls", "which fronts have it is not changed in service");
+  if (fresh.fleet.has_value() != config_.fleet.has_value())
+    throw ConfigError("fleet", fresh.fleet ? "needs a restart to begin" : "missing, and it was there before");
+  std::optional<Fleet::Change> of_fleet;
+  if (fleet_) of_fleet = fleet_->prepare(fleet_settings(fresh));
   auto watch = watch_files(fresh);
   take_credentials(fresh);  // the last that may be turned down
+  if (of_fleet) fleet_->take(std::move(*of_fleet));
   watch_ = std::move(watch);
   if (!mysql_) fresh.mysql.reset();
   if (mysql_) fresh.mysql->passed_socket = config_.mysql->passed_socket;
@@ -296,6 +329,7 @@
   if (std::exchange(draining_, true)) return;
   log_.line(Level::kNotice, "stop", "draining", {{"open", std::to_string(core_.open_requests())}});
   if (siblings_) siblings_->say_ready(false);
+  if (fleet_) fleet_->leave();
   if (frames_) frames_->drain();
   if (mysql_ && !config_.mysql->passed_socket) mysql_->drain();
   drained_at_ = loop_.now();
