--- a/src/decide/fleet/agreement.cpp
+++ b/src/decide/fleet/agreement.cpp
@@ -532,7 +532,9 @@
 
 std::string Agreement::encode(Duration far) const {
   std::string out;
-  const auto span = [&](Duration it) { put(out, static_cast<std::uint64_t>(std::clamp(it, Duration(0), far).count())); };
+  const auto span = [&](Duration it) {
+    put(out, static_cast<std::uint64_t>(std::clamp(it, Duration(0), far).count()));
+  };
   const auto left = [&](Since then) { span(then - now_); };
   const auto gone = [&](Since then, Duration most) { span(std::min(most, now_ - then)); };
   put(out, settings_.self);
--- a/src/decide/fleet/agreement.h
+++ b/src/decide/fleet/agreement.h
@@ -141,8 +141,8 @@
   const std::optional<FleetPlan>& accepted_plan() const { return accepted_plan_; }
   const AgreementFigures& figures() const { return figures_; }
   Time last_time() const { return seen_; }
-  // All that decides what it does from here on; times as spans from now, those of `far` or more alike. For the
-  // search of all states.
+  // All that decides what it does from here on; times as spans from now, those of `far` or more alike. For
+  // the search of all states.
   std::string encode(Duration far = Duration::max()) const;
 
  private:
