--- a/tests/dispatch/fleet_agreement.cpp
+++ b/tests/dispatch/fleet_agreement.cpp
@@ -276,6 +276,47 @@
   CHECK(fleet.one_plan);
 }
 
+TEST_CASE(
+    "agreement: a new life votes above all that as many others as any majority meets may have voted in") {
+  struct Case {
+    std::size_t members, answers;  // of others that vote
+    bool knows;
+  };
+  const auto c =
+      GENERATE(Case{2, 0, false}, Case{2, 1, true}, Case{3, 1, false}, Case{3, 2, true}, Case{4, 1, false},
+               Case{4, 2, true}, Case{5, 2, false}, Case{5, 3, true}, Case{9, 4, false}, Case{9, 5, true});
+  Agreement::Settings settings;
+  settings.members = c.members;
+  settings.life = GENERATE(1U, 2U);
+  Agreement member(settings, {}, kStart);
+  const auto asked = member.on_time(kStart + 500ms);
+  REQUIRE(asked.size() == c.members - 1);
+  const auto number = std::get<Ask>(asked[0].body).number;
+  settings.life = 3 - settings.life;
+  Agreement other(settings, {}, kStart);
+  const auto of_other = std::get<Ask>(other.on_time(kStart + 500ms)[0].body).number;
+  const auto tell = [&](std::size_t from, const Tell& told) {
+    member.receive(kStart + 500ms, static_cast<MemberId>(from), 1, told);
+  };
+  for (std::size_t i = 1; i < c.members; ++i) {
+    tell(i, Tell{of_other, 0, true, 90});  // an answer to another life
+    if (i > c.answers) tell(i, Tell{number, 0, false, 80});
+    for (int twice = 0; twice < 2 && i <= c.answers; ++twice) {
+      tell(i, Tell{number, 0, true, static_cast<std::uint32_t>(7 - i % 2)});
+    }
+  }
+  CHECK(member.voted() == (c.knows ? c.answers > 1 ? 8U : 7U : 0U));
+  CHECK_FALSE(member.votes());
+  if (!c.knows) return;
+  FleetPlan plan;
+  plan.epoch = member.voted() - 1;
+  member.receive(kStart + 500ms, 1, 1, Chosen{plan});
+  CHECK(member.receive(kStart + 500ms, 1, 1, Prepare{plan.epoch + 1, {1, 1}}).empty());
+  plan.epoch += 1;
+  member.receive(kStart + 500ms, 1, 1, Chosen{plan});
+  CHECK(member.receive(kStart + 500ms, 1, 1, Prepare{plan.epoch + 1, {1, 1}}).size() == 1);
+}
+
 TEST_CASE(
     "agreement: members restarted one after another all vote again, without an order to change the plan") {
   const auto n = GENERATE(3U, 4U, 9U);
