--- a/src/decide/fleet/agreement.h
+++ b/src/decide/fleet/agreement.h
@@ -1,6 +1,6 @@
 // The fleet plan: one register that only a majority of the CONFIGURED dispatchers changes. Single-decree
 // Paxos, an instance an epoch (Lamport, "Paxos Made Simple", 2001); epoch n + 1 is proposed, and voted in,
-// only by members that know epoch n's plan. docs/fleet-agreement.md has the table of states and the model
+// only by members that know epoch n's plan. docs/fleet-decisions.md has the table of states and the model
 // check's figures.
 //
 // No disk: why a forgotten vote does no harm
--- a/src/decide/fleet/membership.h
+++ b/src/decide/fleet/membership.h
@@ -8,39 +8,8 @@
 // suspect, and gone after the suspicion span if it has not refuted. Words of this ride on every message
 // between members. So a member sends and gets the same number of messages whatever the fleet's size.
 //
-// A member, as held by another (i: the held incarnation, j: the one that the event carries):
-//
-//   state    event                                 guard             next     told on
-//   unknown  a message of its own                  j > i *           alive j  alive
-//   unknown  rumour alive, suspect or gone         j > i *           that, j  the same
-//   unknown  ping without an answer                                  unknown  nothing
-//   alive    probe without an answer               i still held      suspect  suspect, and pinged each period
-//   alive    a message of its own, rumour alive    j > i             alive j  alive
-//   alive    rumour suspect or gone                j >= i            that, j  the same
-//   suspect  a message of its own, rumour alive    j > i             alive j  alive
-//   suspect  rumour suspect                        j > i             suspect  suspect, and its span begins
-//   anew suspect  rumour gone                           j >= i            gone j   gone suspect  its span is
-//   over                                        gone i   gone suspect  this decider wakes alive i  nothing
-//   gone     a message of its own, rumour alive    j > i             alive j  alive
-//   gone     rumour suspect or gone                j > i             that, j  the same
-//   gone     `forget` is over                                        unknown  nothing; i is kept
-//   any      a message of its own                  j <= i, not alive as held  it is told what is held of it
-//   any      anything else                                           as held  nothing; j < i is counted
-//   * i is 0 if it was never heard of, and what was held of it when it was forgotten.
-//
-// The decider itself (own incarnation o):
-//
-//   state    event                                 guard                      next      done
-//   any      rumour of itself                      j > o, or j = o not alive  same      o = j + 1
-//   any      tick or message                       later than due + bound **  waking    o + 1, probes
-//   dropped,
-//                                                                                       suspects alive,
-//                                                                                       nobody heard
-//   starting, waking  tick or message              2 periods since, and so many have answered pings sent
-//   since:
-//                                                  min(15, majority of those held, itself included)   current
-//   starting, waking  tick                         none held, `alone_after` since                     current
-//   ** the bound is min(span / 2, wake_after); a clock that went back by as much counts as well.
+// docs/fleet-decisions.md has the tables: how a member is held by another (unknown, alive, suspect, gone), and
+// when the decider itself is starting, waking or current.
 //
 // Fifteen: each answer carries the newest words of its sender, so one that half the fleet knows is missed by
 // fifteen of them with a chance of 2^-15; a majority of 300 would take over ten seconds. Only answers to
--- a/tests/dispatch/fleet_agreement.cpp
+++ b/tests/dispatch/fleet_agreement.cpp
@@ -2,7 +2,9 @@
 // restarts, stalls.
 #include "decide/fleet/agreement.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdio>
 #include <map>
 #include <memory>
 #include <numeric>
@@ -413,5 +415,28 @@
   CHECK(fleet.propose(0, 1) == ProposeAnswer::kNotVoting);
 }
 
+// For docs/fleet-decisions.md: fleet_agreement_test "agreement: figures"
+TEST_CASE("agreement: figures", "[.]") {
+  std::puts(
+      "members | all vote, s | plan known by all, ms | messages a s, the renewer | another | lease gap, s");
+  for (const std::size_t n : {3U, 10U, 100U, 300U}) {
+    Fleet fleet(n, 9, 500ms);
+    double voted = 0, known = 0, gap = 0;
+    while (fleet.voting() < n && voted < 60) fleet.run(50ms), voted += 0.05;
+    fleet.run(5s);
+    fleet.propose(0, 1);
+    while (fleet.at_mark(1) < n && known < 10000) fleet.run(1ms), ++known;
+    fleet.run(5s);
+    const auto before = fleet.sent;
+    fleet.run(20s);
+    std::vector<double> rates;
+    for (std::size_t i = 0; i < n; ++i) rates.push_back(static_cast<double>(fleet.sent[i] - before[i]) / 20);
+    std::sort(rates.begin(), rates.end());
+    fleet.side[0] = 1;  // who renews is gone
+    for (int i = 0; i < 200; ++i) fleet.run(50ms), gap += fleet.holding() < n - 1 ? 0.05 : 0;
+    std::printf("%zu | %.1f | %.0f | %.1f | %.1f | %.1f\n", n, voted, known, rates.back(), rates[n / 2], gap);
+  }
+}
+
 }  // namespace
 }  // namespace rookproxy::decide::fleet
