--- a/tests/dispatch/parts.cpp
+++ b/tests/dispatch/parts.cpp
@@ -396,9 +396,9 @@
   // Guards against the guard answering in the module's place when both come up in one turn.
   CoreBench bench;
   bench.list({{"a", kUp}});
-  bench.ask("lookup", 300ms);
+  bench.ask("lookup", 400ms);
   REQUIRE(bench.orders.size() == 1);
-  bench.loop.at(bench.loop.now(), [] { std::this_thread::sleep_for(400ms); });
+  bench.loop.at(bench.loop.now(), [] { std::this_thread::sleep_for(500ms); });
   CHECK(bench.run_until([&] { return !bench.answers.empty(); }));
   CHECK(bench.answers.size() == 1);
   CHECK(bench.text.str().find("without a decision") == std::string::npos);
