--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -14,7 +14,8 @@
 
 void check_schema(const nlohmann::json& section, const std::string& name) {
   using valijson::adapters::NlohmannJsonAdapter;
-  const std::map<std::string, const char*> texts{{"access", kAccessSchema}, {"tls", kTlsSchema}, {"fleet", kFleetSchema}};
+  const std::map<std::string, const char*> texts{
+      {"access", kAccessSchema}, {"tls", kTlsSchema}, {"fleet", kFleetSchema}};
   const auto document = nlohmann::json::parse(texts.at(name));
   valijson::Schema schema;
   valijson::SchemaParser().populateSchema(NlohmannJsonAdapter(document), schema);
--- a/src/decide/asking.cpp
+++ b/src/decide/asking.cpp
@@ -16,6 +16,8 @@
                   Duration(static_cast<Duration::rep>(static_cast<double>(interval_.count()) * share)));
 }
 
-Duration AskingTimes::longest_pause() const { return std::chrono::duration_cast<Duration>(interval_ * (1 + kVaries)); }
+Duration AskingTimes::longest_pause() const {
+  return std::chrono::duration_cast<Duration>(interval_ * (1 + kVaries));
+}
 
 }  // namespace rookproxy::decide
--- a/src/decide/fleet/membership.h
+++ b/src/decide/fleet/membership.h
@@ -8,8 +8,8 @@
 // suspect, and gone after the suspicion span if it has not refuted. Words of this ride on every message
 // between members. So a member sends and gets the same number of messages whatever the fleet's size.
 //
-// docs/fleet-decisions.md has the tables: how a member is held by another (unknown, alive, suspect, gone), and
-// when the decider itself is starting, waking or current.
+// docs/fleet-decisions.md has the tables: how a member is held by another (unknown, alive, suspect, gone),
+// and when the decider itself is starting, waking or current.
 //
 // Fifteen: each answer carries the newest words of its sender, so one that half the fleet knows is missed by
 // fifteen of them with a chance of 2^-15; a majority of 300 would take over ten seconds. Only answers to
