--- a/src/core/interfaces.h
+++ b/src/core/interfaces.h
@@ -26,6 +26,7 @@
 struct Query {
   std::string id;          // the client's id for the request, passed on unchanged
   std::string class_name;  // likewise
+  std::string dedupe;      // likewise: by it engines know repeats of a keyed class's request; empty: none
   std::string statement;   // the bytes that came
   // What is asked with it. Only statements and executions run anything; the platform knows statements alone.
   enum class Kind { kStatement, kPrepare, kExecute, kUseSchema };
--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -102,7 +102,7 @@
 // Figures beyond these are no estimates: they would only mislead the module about what usual requests take.
 constexpr int kMostDeadlines = 4;                     // of its class, that a client may wait
 constexpr double kMostWork = 1e7, kMostMemory = 1e7;  // ms, MB
-constexpr std::size_t kLongestName = 255;             // bytes of a tenant's
+constexpr std::size_t kLongestName = 255;             // bytes of a tenant's, or of a key against repeats
 
 std::optional<double> amount(std::string_view text) {
   const auto value = parse_number<double>(text);
@@ -116,6 +116,13 @@
          });
 }
 
+// It goes on to engines as one value of a list of fields.
+bool is_dedupe_key(std::string_view text) {
+  return !text.empty() && text.size() <= kLongestName && std::all_of(text.begin(), text.end(), [](char c) {
+    return c > ' ' && c < 127 && c != ',' && c != '=';
+  });
+}
+
 frames::Fields::value_type pushback(Duration pause) {
   return {"pushback", std::to_string(std::chrono::ceil<std::chrono::milliseconds>(pause).count())};
 }
@@ -399,6 +406,9 @@
       memory = amount(*text);
       if (!memory || *memory > kMostMemory) return unusable("field memory: not an amount");
     }
+    // Where repeats do no harm the field means nothing, and engines expect none.
+    const auto dedupe = settings.effect == lemonshift::Effect::kSafe ? std::nullopt : field("dedupe");
+    if (dedupe && !is_dedupe_key(*dedupe)) return unusable("field dedupe: not a plain word");
     // Engines know requests by it: under one that is open, another statement would end or answer the wrong
     // one.
     if (front_.open_calls_.contains(std::string(*call))) {
@@ -413,6 +423,7 @@
     auto query = std::make_shared<Query>();
     query->id = *call;
     query->class_name = *op;
+    if (dedupe) query->dedupe = *dedupe;
     query->statement = body;
     query->writes = settings.effect == lemonshift::Effect::kUnsafe;
     arrival.query = std::move(query);
--- a/src/link/lines.cpp
+++ b/src/link/lines.cpp
@@ -93,6 +93,7 @@
     fields += ",grant=" + std::to_string(std::max<long long>(0, std::llround(*order.memory_mb)));
   }
   fields += ",rank=" + std::to_string(std::clamp(order.rank, 0, 3));
+  if (!order.query->dedupe.empty()) fields += ",uniq=" + order.query->dedupe;
   std::string bytes =
       "REQ " + order.query->id + " " + fields + " " + std::to_string(order.query->statement.size()) + "\r\n";
   bytes += order.query->statement;
--- a/tests/dispatch/deployments.cpp
+++ b/tests/dispatch/deployments.cpp
@@ -464,3 +464,29 @@
   // 0: clients heed no advice, which is no reason not to start.
   CHECK(read_config(with_peers(R"({"settings":{"permissions":{"max_retry_after":0}}})")).refusal_pause == 1s);
 }
+
+TEST_CASE("a keyed class's key against repeats goes on to engines with every attempt") {
+  // Guards against a request that is not as its client sent it: an engine that is given no key knows no
+  // repeat. A safe class has none, and a key that could break the line to the engine is told by name.
+  play(R"(
+    engines a
+    set /settings/grades/1/effect "token"
+    set /settings/grades/1/group "all"
+    set /settings/grades/1/window 4000000
+    set /settings/domain/is_load [false,false]
+    set /settings/domain/priorities false
+    start
+    client c
+    send c fields 1 op=load,call=new,ttl=3000,dedupe=eb45388962e73bd5 INSERT 1
+    expect a REQ uniq=eb45388962e73bd5
+    send a full -
+    expect a REQ uniq=eb45388962e73bd5
+    send a data parts=1 done\n
+    expect c served 1 done\n
+    send c fields 2 op=load,call=new,ttl=3000,dedupe=a=b INSERT 2
+    expect c failed 2 dedupe
+    send c fields 3 op=lookup,call=new,ttl=3000,dedupe=a=b SELECT 1
+    expect a REQ rank=1 8
+    send a data parts=1 done\n
+    expect c served 3 done\n)");
+}
