Name the poll schedule by its standard term

decide/asking was a word of our own for what the field calls a poll schedule: AskingTimes is PollSchedule in decide/poll_schedule, its tests are named after it. No behaviour changes.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -1,7 +1,7 @@
 #include "app/app.h"
 
-#include "decide/asking.h"
 #include "decide/drains.h"
+#include "decide/poll_schedule.h"
 
 #include <algorithm>
 #include <cerrno>
@@ -55,7 +55,7 @@
   limits.refusal_pause = config.refusal_pause;
   limits.tick = config.tick;
   limits.drain_margin = decide::drain_margin(
-      config.nameserver ? decide::AskingTimes(config.directory_poll).longest_pause() : Duration(0));
+      config.nameserver ? decide::PollSchedule(config.directory_poll).longest_pause() : Duration(0));
   return limits;
 }
 
--- a/src/decide/asking.cpp
+++ b/src/decide/poll_schedule.cpp
@@ -1,4 +1,4 @@
-#include "decide/asking.h"
+#include "decide/poll_schedule.h"
 
 #include <algorithm>
 
@@ -8,7 +8,7 @@
 constexpr double kVaries = 0.1;
 }  // namespace
 
-Duration AskingTimes::next(double draw) {
+Duration PollSchedule::next(double draw) {
   draw = std::clamp(draw, 0.0, 1.0);
   const double share = first_ ? draw : 1 - kVaries + 2 * kVaries * draw;
   first_ = false;
@@ -16,7 +16,7 @@
                   Duration(static_cast<Duration::rep>(static_cast<double>(interval_.count()) * share)));
 }
 
-Duration AskingTimes::longest_pause() const {
+Duration PollSchedule::longest_pause() const {
   return std::chrono::duration_cast<Duration>(interval_ * (1 + kVaries));
 }
 
--- a/src/decide/asking.h
+++ b/src/decide/poll_schedule.h
@@ -7,10 +7,10 @@
 
 namespace rookproxy::decide {
 
-class AskingTimes {
+class PollSchedule {
  public:
   // `interval` over 0: the mean time between two questions.
-  explicit AskingTimes(Duration interval) : interval_(interval) {}
+  explicit PollSchedule(Duration interval) : interval_(interval) {}
   // The pause after a question, `draw` being random from 0 to below 1. The first puts the dispatcher anywhere
   // in the interval; later ones vary by a tenth, so that whoever falls into step falls out of it again. At
   // most 1.1 intervals: an engine's drain is heard no later for it than that.
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -18,7 +18,7 @@
       log_(log),
       server_(server),
       service_(std::move(service)),
-      times_(poll),
+      schedule_(poll),
       serial_(static_cast<std::uint32_t>(serial)),
       random_(seed),
       told_(std::move(told)),
@@ -38,7 +38,7 @@
   hang_up();
   server_ = server;
   service_ = std::move(service);
-  times_ = decide::AskingTimes(poll);
+  schedule_ = decide::PollSchedule(poll);
   asked_.clear();  // an answer of the former server can't arrive any more
   heard_at_ = loop_.now();
   ask();
@@ -46,7 +46,7 @@
 
 void DnsDirectory::ask() {
   const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
-  timer_ = loop_.at(loop_.now() + times_.next(draw), [this] { ask(); });
+  timer_ = loop_.at(loop_.now() + schedule_.next(draw), [this] { ask(); });
   if (!socket_) {
     // Connected, so the kernel passes on only what comes from the server's address.
     socket_ = connect_udp(server_);
--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "core/interfaces.h"
-#include "decide/asking.h"
+#include "decide/poll_schedule.h"
 #include "directory/dns.h"
 #include "log/log.h"
 #include "net/loop.h"
@@ -37,7 +37,7 @@
   Log& log_;
   Endpoint server_;
   std::string service_;
-  decide::AskingTimes times_;
+  decide::PollSchedule schedule_;
   std::uint32_t serial_;
   std::mt19937_64 random_;
   Told told_;
--- a/tests/dispatch/deployments.cpp
+++ b/tests/dispatch/deployments.cpp
@@ -11,8 +11,8 @@
 #include "config/config.h"
 #include "core/dispatcher.h"
 #include "core/rules.h"
-#include "decide/asking.h"
 #include "decide/drains.h"
+#include "decide/poll_schedule.h"
 #include "link/lines.h"
 #include "ops/ops.h"
 #include "scenario.h"
@@ -312,7 +312,7 @@
        {Case{200ms, 1s, 750ms}, Case{200ms, 2s, 1750ms}, Case{20ms, 1s, 948ms}, Case{0ms, 1s, 970ms},
         Case{1s, 1s, 0ms}, Case{200ms, 0s, 0ms}}) {
     INFO(poll.count() << " " << grace.count());
-    const Duration margin = decide::drain_margin(decide::AskingTimes(poll).longest_pause());
+    const Duration margin = decide::drain_margin(decide::PollSchedule(poll).longest_pause());
     CHECK(decide::last_send(Time(5s), grace, margin) == Time(5s + last));
   }
 }
--- a/tests/dispatch/asking.cpp
+++ b/tests/dispatch/poll_schedule.cpp
@@ -1,5 +1,5 @@
 // When the directory is asked, over a whole fleet in virtual time.
-#include "decide/asking.h"
+#include "decide/poll_schedule.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -16,8 +16,9 @@
   std::vector<Duration> all;
   for (int i = 0; i < dispatchers; ++i) {
     std::mt19937_64 random(static_cast<std::uint64_t>(i) + 1);
-    AskingTimes times(interval);
-    for (Duration at(0); at < until; at += times.next(std::uniform_real_distribution<double>(0, 1)(random))) {
+    PollSchedule schedule(interval);
+    for (Duration at(0); at < until;
+         at += schedule.next(std::uniform_real_distribution<double>(0, 1)(random))) {
       all.push_back(at);
     }
   }
@@ -25,7 +26,7 @@
   return all;
 }
 
-TEST_CASE("asking: a fleet that starts at one moment does not ask in step") {
+TEST_CASE("poll schedule: a fleet that starts at one moment does not ask in step") {
   const auto all = questions(100, 200ms, 20s);
   std::size_t most = 0;
   for (auto from = all.begin(); from != all.end(); ++from) {
@@ -36,24 +37,24 @@
   CHECK(most <= 20);  // 5 if all were even; 100 in step
 }
 
-TEST_CASE("asking: the rate stays what it was, and no pause is long") {
+TEST_CASE("poll schedule: the rate stays what it was, and no pause is long") {
   const auto all = questions(100, 200ms, 20s);
   CHECK(all.size() > 9'800);
   CHECK(all.size() < 10'300);
-  AskingTimes times(200ms);
-  CHECK(times.next(0.999) <= Duration(200ms));
+  PollSchedule schedule(200ms);
+  CHECK(schedule.next(0.999) <= Duration(200ms));
   for (int i = 0; i <= 100; ++i) {
-    const auto pause = times.next(i / 100.0);
+    const auto pause = schedule.next(i / 100.0);
     CHECK(pause >= Duration(179ms));
     CHECK(pause <= Duration(220ms));
   }
 }
 
-TEST_CASE("asking: a draw or an interval at the edge still gives a pause") {
-  AskingTimes times(1us);
-  CHECK(times.next(0) >= Duration(1));
-  CHECK(times.next(-1) >= Duration(1));
-  AskingTimes zero(0us);
+TEST_CASE("poll schedule: a draw or an interval at the edge still gives a pause") {
+  PollSchedule schedule(1us);
+  CHECK(schedule.next(0) >= Duration(1));
+  CHECK(schedule.next(-1) >= Duration(1));
+  PollSchedule zero(0us);
   CHECK(zero.next(0.5) >= Duration(1));  // never a loop without a wait
 }
 
