Descriptors: clients who fill theirs leave their own to all others

Cause: client_share and engine_share (src/app/app.cpp) took two fifths each of `limits.sockets` and never asked for the process's own limit. With RLIMIT_NOFILE below it, idle clients took all that the process may open: engines could not be dialled, who came was closed at once, and no idle one gave way. With few sockets the shares and what the process itself holds (streams, epoll, signals, listeners, the acceptors' reserves, the directory) came to more than the limit as well: 65 of 64.

Change: decide/descriptor_shares gives the process its own first, then operators, clients and engines, all within the lower of both limits; from about 145 up clients and engines keep the figures they had.

Acceptor: where the reserve could not be opened again it was gone for life, and whoever came afterwards was never told; a reserve given up in vain was tried again at once. Now it is had again before anybody is let in, and after a vain try the acceptor waits as without one. Ruled out: spinning, and starving others (a share a turn) - the test counts the turns.

Tests: "descriptors: ..." in tests/dispatch/descriptors.cpp. The real program under a limit of 64, in the configuration and as its own with 1,024 in the configuration: 80 clients that asked once and stay, the directory silent; then the directory is heard at another port, an engine known from there alone is dialled, STATUS answers, a new client is served, the first idle one gave way. With the former shares it fails at 1,024 ("nothing came"); the acceptor's fails without the line that has the reserve again.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -1,5 +1,6 @@
 #include "app/app.h"
 
+#include "decide/descriptor_shares.h"
 #include "decide/drains.h"
 #include "decide/poll_schedule.h"
 
@@ -10,11 +11,13 @@
 namespace rookproxy {
 namespace {
 
-// Clients hold at most a third of the descriptors; a little more is let in for connections on their way out.
-std::size_t client_share(std::size_t sockets) { return sockets * 2 / 5; }
-std::size_t engine_share(std::size_t sockets) { return sockets * 2 / 5; }
-// Set aside for operators' calls, which neither clients nor engines may take.
-std::size_t ops_share(std::size_t sockets) { return std::clamp<std::size_t>(sockets / 16, 2, 32); }
+// What the process itself may open can be less than what it is told.
+decide::DescriptorShares shares(std::size_t sockets) {
+  return decide::descriptor_shares(std::min(sockets, descriptor_limit()));
+}
+std::size_t client_share(std::size_t sockets) { return shares(sockets).clients; }
+std::size_t engine_share(std::size_t sockets) { return shares(sockets).engines; }
+std::size_t ops_share(std::size_t sockets) { return shares(sockets).operators; }
 // Statements and results may take this part of the memory; buffers, tables and the module have the rest.
 std::size_t held_share(std::size_t memory_mb) { return (memory_mb << 20) / 4; }
 
--- a/src/net/fd.cpp
+++ b/src/net/fd.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/un.h>
 #include <unistd.h>
@@ -154,6 +155,12 @@
   return fd;
 }
 
+std::size_t descriptor_limit() {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return SIZE_MAX;
+  return static_cast<std::size_t>(limit.rlim_cur);
+}
+
 std::uint16_t local_port(const Fd& fd) {
   sockaddr_in address{};
   socklen_t size = sizeof address;
--- a/src/net/fd.h
+++ b/src/net/fd.h
@@ -3,6 +3,7 @@
 
 #include <netinet/in.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -52,6 +53,8 @@
 // Its queue, and whether it blocks, are shared with every process that holds it: it is never shut down.
 Fd adopt_listener(int number);
 Fd accept_from(const Fd& listener);
+// How many descriptors this process may hold.
+std::size_t descriptor_limit();
 std::uint16_t local_port(const Fd& fd);
 // One send, and whatever comes of it.
 void send_best_effort(const Fd& fd, std::string_view bytes);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -239,11 +239,15 @@
   }
 }
 
+namespace {
+Fd spare_descriptor() { return Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC)); }
+}  // namespace
+
 Acceptor::Acceptor(Loop& loop, Fd listener, std::function<void(Fd)> taken, bool accepting,
                    std::function<bool()> room)
     : loop_(loop),
       listener_(std::move(listener)),
-      reserve_(::open("/dev/null", O_RDONLY | O_CLOEXEC)),
+      reserve_(spare_descriptor()),
       taken_(std::move(taken)),
       room_(std::move(room)) {
   if (accepting) start();
@@ -263,6 +267,8 @@
 }
 
 void Acceptor::on_ready(std::uint32_t) {
+  // One that was lost (below) is had again before anybody is let in: else nobody would be told any more.
+  if (!reserve_) reserve_ = spare_descriptor();
   for (int taken = 0;; ++taken) {
     if (key_ == 0) return;  // stopped by what was just taken
     if (taken == kAcceptShare) return loop_.again(key_, EPOLLIN);
@@ -276,14 +282,15 @@
       taken_(std::move(fd));
       continue;
     }
-    if (errno == EINTR || errno == ECONNABORTED || errno == EPROTO) continue;
-    if ((errno == EMFILE || errno == ENFILE) && reserve_) {
+    const int why = errno;
+    if (why == EINTR || why == ECONNABORTED || why == EPROTO) continue;
+    if ((why == EMFILE || why == ENFILE) && reserve_) {
       reserve_.reset();
-      accept_from(listener_).reset();
-      reserve_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC));
-      continue;
+      const bool told = static_cast<bool>(accept_from(listener_));
+      reserve_ = spare_descriptor();
+      if (told) continue;  // else somebody else has what was the reserve's: no use to try on at once
     }
-    if (errno != EAGAIN && errno != EWOULDBLOCK) {
+    if (why != EAGAIN && why != EWOULDBLOCK) {
       // Out of descriptors with no reserve, or of kernel memory: no edge will come for what waits, so look
       // again.
       loop_.cancel(retry_);
--- /dev/null
+++ b/tests/dispatch/descriptors.cpp
@@ -0,0 +1,108 @@
+// Descriptors run out: who has some kept for them, who is told, and what serves on.
+#include "descriptors.h"
+
+#include <sys/socket.h>
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "decide/descriptor_shares.h"
+#include "net/stream.h"
+#include "scenario.h"
+#include "standins/standins.h"
+
+namespace rookproxy {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("descriptors: all shares together stay within the limit, and clients have their third") {
+  for (std::size_t limit = 32; limit <= 4096; ++limit) {
+    const auto shares = decide::descriptor_shares(limit);
+    const std::size_t sum = shares.own + shares.operators + shares.clients + shares.engines;
+    // At least what a dispatcher of frames, operators and a directory holds: 0 to 2, epoll, signals, two
+    // listeners with their reserves, two sockets to the directory.
+    const bool fits = sum <= limit && shares.own >= 12 && shares.operators >= 2 && shares.engines >= 9;
+    const bool third = shares.clients > limit / 3 || (limit < 64 && shares.clients >= 9);
+    if (!fits || !third) FAIL_CHECK("a limit of " << limit);
+  }
+  CHECK(decide::descriptor_shares(1024).clients == 409);
+  CHECK(decide::descriptor_shares(1024).engines == 409);
+  CHECK(decide::descriptor_shares(8).clients >= 1);  // a process with too few still lets somebody in
+  CHECK(decide::descriptor_shares(8).engines >= 1);
+}
+
+TEST_CASE("descriptors: idle clients fill theirs, and directory, engines, operators and clients are served") {
+  // In the configuration, and as the process's own limit with more in the configuration.
+  for (const std::string sockets : {"64", "1024"}) {
+    INFO(sockets);
+    test::play("engines b\nlines-engines a\nset /limits/sockets " + sockets + R"(
+    descriptors 64
+    move directory silent
+    start
+    hold 4
+    idlers 80
+    expect idler0 closed
+    expect log the server is silent
+    move directory
+    configure
+    signal HUP
+    expect log reread
+    directory b=up
+    call STATUS
+    expect answer +OK ready
+    client c
+    send c request 1 lookup 3000 SELECT 1
+    expect b REQ SELECT 1
+    send b data parts=1 one\n
+    expect c served 1 one\n
+    expect nolog no socket to ask from)");
+  }
+}
+
+struct Comers {
+  std::vector<Fd> fds;
+  void come(std::uint16_t port, std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) fds.push_back(connect_tcp({0x7f000001, port}));
+  }
+  std::size_t told() const {
+    std::size_t ended = 0;
+    char byte = 0;
+    for (const Fd& fd : fds) ended += ::recv(fd.get(), &byte, 1, MSG_DONTWAIT) == 0 ? 1 : 0;
+    return ended;
+  }
+};
+
+TEST_CASE("descriptors: an acceptor without any tells who comes, also after its reserve was taken") {
+  Loop loop;
+  std::vector<Fd> taken;
+  Acceptor acceptor(
+      loop, test::listen_anywhere(), [&](Fd fd) { taken.push_back(std::move(fd)); }, false);
+  Comers comers;
+  comers.come(acceptor.port(), 100);
+  std::size_t turns = 0;
+  bool late = false, lost = false;
+  const test::AllDescriptorsTaken all_taken;
+  std::optional<test::DescriptorLimit> none(3);  // not even in place of the reserve, which is lost so
+  acceptor.start();
+  loop.at(loop.now() + 200ms, [&] {
+    lost = comers.told() == 0 && taken.empty();
+    CHECK(turns < 20);  // it looks again now and then, and does not spin
+    none.reset();
+  });
+  loop.each_turn([&] {
+    ++turns;
+    if (lost && comers.told() == 100) loop.stop();
+  });
+  loop.at(loop.now() + test::kPatience, [&] {
+    late = true;
+    loop.stop();
+  });
+  loop.run();
+  CHECK(lost);
+  CHECK_FALSE(late);
+  CHECK(taken.empty());
+}
+
+}  // namespace
+}  // namespace rookproxy
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -17,6 +17,7 @@
 #include <stdexcept>
 
 #include "confine.h"
+#include "descriptors.h"
 #include "front/frames.h"
 #include "link/lines.h"
 #include "process.h"
@@ -132,6 +133,7 @@
       answer_ = call_operators(old ? old_ : process_, text.substr(old ? 4 : 0));
       return;
     }
+    if (verb == "descriptors") return void(descriptors_ = std::stoul(word()));
     if (verb == "confine") return void(confined_ = true);
     if (verb == "pass") {
       const auto pass = [this](json& listen) {
@@ -154,6 +156,7 @@
       for (int left = std::stoi(word()); left > 0; --left) held_.push_back(Peer::connect(frames_port_));
       return;
     }
+    if (verb == "idlers") return idlers(std::stoi(word()));
     if (verb == "client") return connect();
     if (verb == "mysql") return log_in();
     if (verb == "knock") {
@@ -386,7 +389,11 @@
 
   void start() {
     configure("");
-    process_.start(folder_, folder_ + "/log" + std::to_string(++starts_), passed_, confined_);
+    {
+      std::optional<DescriptorLimit> limit;
+      if (descriptors_ > 0) limit.emplace(descriptors_);
+      process_.start(folder_, folder_ + "/log" + std::to_string(++starts_), passed_, confined_);
+    }
     process_.wait_for("ready to serve");
     frames_port_ = static_cast<std::uint16_t>(std::stoi(process_.wait_for("start [rookproxy@32473 port=\"")));
     if (!mysql_engines_.empty()) {
@@ -419,12 +426,17 @@
 
   // Writes the file anew: as it stands, or with that text.
   void configure(const std::string& text) {
-    config_["nameserver"] = "127.0.0.1:" + std::to_string(directory_->port());
+    config_["nameserver"] = "127.0.0.1:" + std::to_string(silent_ ? local_port(silent_) : directory_->port());
     std::ofstream(folder_ + "/config.json") << (text.empty() ? config_.dump() : text);
   }
 
   // The former one answers no more.
-  void move_directory() { directory_ = std::make_unique<DirectoryStandIn>(directory_->serial()); }
+  void move_directory() {
+    word();
+    const bool silent = word() == "silent";
+    directory_ = std::make_unique<DirectoryStandIn>(directory_->serial());
+    silent_ = silent ? bind_udp({0x7f000001, 0}) : Fd();
+  }
 
   void directory() {
     std::vector<Member> members;
@@ -442,6 +454,15 @@
     process_.wait_for("serial=\"" + std::to_string(directory_->serial()));
   }
 
+  void idlers(int count) {
+    for (int i = 0; i < count; ++i) {
+      const std::string name = "idler" + std::to_string(i);
+      step("client " + name);
+      step("send " + name + " request 1 lookup 3000 SELECT 1");
+      step("expect " + name + R"( served 1 a\tb\tc\n)");
+    }
+  }
+
   // client C [tls [CERTIFICATE] [denied]]
   void connect() {
     const std::string name = word(), tls = word();
@@ -810,6 +831,8 @@
   std::vector<Peer> held_;
   std::string answer_;
   std::vector<Fd> passed_;
+  Fd silent_;  // in the directory's place
+  std::size_t descriptors_ = 0;
   bool confined_ = false;
   Process old_, process_;
   int starts_ = 0;
--- a/tests/dispatch/scenario.h
+++ b/tests/dispatch/scenario.h
@@ -14,7 +14,8 @@
 //   upgrade                         a second process beside the first, which is 'old' from now on
 //   signal old TERM|KILL | call old TEXT
 //   directory A=up B=draining ...   what the directory lists from now on; waits until the dispatcher has it
-//   move directory                  to another address; the next 'directory' is told there
+//   move directory [silent]         to another address; the next 'directory' is told there; silent: never answered
+//   descriptors N                   before start: the process's own limit
 //   client C | mysql C [SCHEMA]     connects a client to the front for frames, or logs in to that for MySQL
 //   mysql C denied                  the log-in must fail
 //   knock C                         connects to the MySQL front and says nothing
@@ -23,6 +24,7 @@
 //   send C slowly MS request ...    the same in ten pieces, over that time
 //   send C begin request ... | send C finish     its first half, the rest of it
 //   crowd N                          N clients that connect and say nothing
+//   idlers N                         clients idler0, idler1, ... that ask once each, are served and stay
 //   send C abandon STREAM | send C ready STREAM | send C hex BYTES
 //   expect C served|refused|failed STREAM [TEXT] | expect C ready CODE | expect C goaway | expect C error
 //   expect C pushback STREAM MS     refused, and to stay away for so long
