Ask once more, as an attempt's first byte leaves, whether it still may

Dispatcher::forbidden knew no scope or window. - due_within was set anew by every line and by every request called off: notes, foreign or repeated pages, or clients that leave kept a half answer alive until its deadline. - At the pool's most connections, or out of descriptors, Pool::place reported 'no connection': the module shut the engine. - An answer to an id that still waited on its connection ended it, as served.

Now decide/sending says where and until when an attempt may begin, and what may be refused; the core asks it as it orders, and links ask the core (LinkEvents::may_begin, by the clock and not by the turn's time) as the first byte goes to the kernel. Orders wait in the link, not in the stream. What waits ends when its window does, and at once with its request, of any class (EngineLinks::take_back). The window counts from the order of the first attempt that may have run, which is no later than its bytes. Zones are held by name, as a change of settings may number them anew. What is due counts from its own start (of pages, from the last new one of its own). Without room an order waits for it, a dial's time at most, and then ends as not sent. Unsent orders of a closed or moved engine end as not sent: no word against it. MySQL: the dial's time covers the log-in, a result withdrawn is waited for no longer than anybody could ask again, and what waits for a preparation asks once more before it runs. A loop that was stopped can be run again.

Ruled out by test: bytes with the kernel are told as 'may have run' and none as 'never ran' for a reset long after, an idle connection reset before or closed as it is written to, and a dial that times out; second answers to an id; answers on a retired connection; an answer cut after each byte.

Taken out one by one, each with its case failing: taking back at the end of a request, the question at the first byte, the moment by which an attempt must begin, the window, due times of their own, room told apart from refusal, the guard on answers to what has not begun. Without a case of their own: the three changes to MySQL links, zones by name, 'not sent' for moved engines, and the lookup after on_answer in end_attempt.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "core/rules.h"
 #include "decide/drains.h"
+#include "net/clock.h"
 
 #include <algorithm>
 #include <utility>
@@ -202,6 +203,7 @@
                        engine.told.started != member.started || engine.told.state == EngineState::kGone;
     engine.told = member;
     if (moved && member.state != EngineState::kGone) links_->engine_at(id, member.address);
+    if (member.state == EngineState::kGone) links_->engine_closed(id);
     list.entries.push_back(entry_of(id));
   }
   for (EngineId id = 0; id < engines_.size(); ++id) {
@@ -209,6 +211,7 @@
     if (named[id] || engine.told.state == EngineState::kGone) continue;
     if (engine.told.state == EngineState::kServing) close_engine(id);
     engine.told.state = EngineState::kGone;
+    links_->engine_closed(id);
   }
   push(std::move(list));
 }
@@ -289,7 +292,8 @@
   if (end.outcome == Outcome::kServed && !request->over) {
     finish(key, {Verdict::kServed, std::move(end.body), std::nullopt, Cause::kNone, ""});
   }
-  event.over = request->over;
+  const Request* still = requests_.find(key);  // the asker may have asked for more, and the table have moved
+  event.over = !still || still->over;
   push(std::move(event));
 }
 
@@ -331,9 +335,15 @@
     }
   }
   // Nobody is told: it stands under no count.
-  if (!asker) return;
-  const Verdict told = asker->on_answer(ticket, std::move(answer));
-  if (const Request* still = requests_.find(key)) count(still->arrival.cls, told, still->arrival.tenant);
+  if (asker) {
+    const Verdict told = asker->on_answer(ticket, std::move(answer));
+    if (const Request* still = requests_.find(key)) count(still->arrival.cls, told, still->arrival.tenant);
+  }
+  // What still waits to begin leaves at once, of any class; what has begun is the module's to call off or
+  // not.
+  for (std::uint32_t i = 0; attempt({key, i}); ++i) {
+    if (attempt({key, i})->out) take_back(key, i);
+  }
 }
 
 void Dispatcher::turned_away(lemonshift::ClassIndex cls, Verdict verdict, std::string_view tenant) {
@@ -404,11 +414,10 @@
   } else if (const auto* refuse = std::get_if<lemonshift::Refuse>(&action)) {
     const Request* request = requests_.find(refuse->request);
     if (!request) return;
-    // The rule on refusals, whatever the module says: an unsafe request that may have run is never 'refused'.
-    const bool unsafe = rules(request->arrival.cls).effect == lemonshift::Effect::kUnsafe;
+    // The rule on refusals, whatever the module says.
     const bool ran = std::any_of(request->attempts.begin(), request->attempts.end(),
                                  [](const Attempt& a) { return a.may_have_run; });
-    if (unsafe && ran) {
+    if (!decide::may_refuse(repeat_rule(*request), ran)) {
       log_.line(Level::kError, "core", "refusal of a request that may have run turned into a failure", {});
       return finish(refuse->request, {Verdict::kFailed, "", std::nullopt, Cause::kDecision, ""});
     }
@@ -431,48 +440,107 @@
   // FollowList asks for what a directory here always does.
 }
 
+decide::RepeatRule Dispatcher::repeat_rule(const Request& request) const {
+  using decide::RepeatPlace;
+  using lemonshift::Effect;
+  using lemonshift::RepeatScope;
+  const auto& cls = rules(request.arrival.cls);
+  decide::RepeatRule rule;
+  rule.second_copies = settings_.second_copies;
+  if (cls.effect == Effect::kSafe) {
+    rule.place = RepeatPlace::kAnywhere;
+  } else if (cls.effect == Effect::kKeyed) {
+    const auto scope = cls.repeat_scope.value_or(RepeatScope::kCell);
+    rule.place = scope == RepeatScope::kAll    ? RepeatPlace::kAnywhere
+                 : scope == RepeatScope::kZone ? RepeatPlace::kZone
+                                               : RepeatPlace::kCell;
+    rule.window = span_from_module(cls.repeat_window.value_or(0));
+  }
+  return rule;
+}
+
+// Until when work may leave for it.
+Time Dispatcher::open_until(const Engine& engine) const {
+  if (engine.told.state == EngineState::kServing) return Time::max();
+  // Its address may be another's by now.
+  return engine.told.state == EngineState::kGone ? Time::min() : drain_limit(engine.closed_at);
+}
+
+decide::Sending Dispatcher::sending(const Request& request, EngineId id, std::size_t number) const {
+  const Engine& engine = engines_[id];
+  decide::Sending sending(repeat_rule(request), {engine.told.zone, engine.told.cell},
+                          request.arrival.give_up_at, open_until(engine));
+  for (std::size_t i = 0; i < request.attempts.size(); ++i) {
+    const Attempt& other = request.attempts[i];
+    if (i != number) sending.beside({other.sent, {other.zone, other.cell}, other.out, other.may_have_run});
+  }
+  return sending;
+}
+
 // Why this send may not go out; nothing if it may. The module keeps these rules itself; this is the net below
 // it.
-std::optional<std::string> Dispatcher::forbidden(const Request* request,
-                                                 const lemonshift::Send& order) const {
+std::string_view Dispatcher::forbidden(const Request* request, const lemonshift::Send& order) const {
   if (!request || request->over) return "request is over";
   if (order.engine >= engines_.size()) return "unknown engine";
   if (request->attempts.size() >= rules(request->arrival.cls).max_attempts) return "too many attempts";
-  if (loop_.now() >= request->arrival.give_up_at) return "out of time";
-  const Engine& engine = engines_[order.engine];
-  if (engine.told.state == EngineState::kGone) return "engine is gone";
-  if (engine.told.state == EngineState::kDraining && loop_.now() >= drain_limit(engine.closed_at)) {
-    return "engine drains";
-  }
-  const bool unsafe = rules(request->arrival.cls).effect == lemonshift::Effect::kUnsafe;
-  for (const Attempt& earlier : request->attempts) {
-    if (unsafe && earlier.may_have_run) return "it may have run";
-    if (earlier.out && !settings_.second_copies) return "an attempt is out";
-  }
-  return std::nullopt;
+  return sending(*request, order.engine, request->attempts.size()).held_back(loop_.now());
+}
+
+// By the clock itself: the turn may have begun long ago, and timers that would have taken it back are run at
+// its end.
+bool Dispatcher::may_begin(AttemptKey key) {
+  const Attempt* known = attempt(key);
+  if (!known || !known->out) return false;
+  const Request& request = *requests_.find(key.request);
+  const auto reason = request.over ? std::string_view("request is over")
+                                   : sending(request, known->engine, key.number).held_back(wall_now());
+  if (reason.empty()) return true;
+  log_.line(Level::kInfo, "core", "attempt not begun: " + std::string(reason),
+            {{"engine", engines_[known->engine].told.id}});
+  return false;
+}
+
+// It ends, as never run, if no byte of it has left.
+bool Dispatcher::take_back(RequestKey key, std::uint32_t number) {
+  if (!links_->take_back({key, number})) return false;
+  end_attempt(key, number, {Outcome::kNotSent, std::nullopt, ""});
+  return true;
 }
 
 void Dispatcher::send(const lemonshift::Send& order) {
   Request* request = requests_.find(order.request);
   const auto reason = forbidden(request, order);
-  if (reason) {
-    log_.line(Level::kWarning, "core", "send held back: " + *reason, {});
+  if (!reason.empty()) {
+    log_.line(Level::kWarning, "core", "send held back: " + std::string(reason), {});
     if (!request) return;
   }
   const auto number = static_cast<std::uint32_t>(request->attempts.size());
   Attempt fresh;
   fresh.engine = order.engine;
   fresh.sent = loop_.now();
-  request->attempts.push_back(fresh);
+  if (order.engine < engines_.size()) {
+    fresh.zone = engines_[order.engine].told.zone;
+    fresh.cell = engines_[order.engine].told.cell;
+  }
+  request->attempts.push_back(std::move(fresh));
   ++request->out;
   const AttemptKey key{order.request, number};
-  if (reason) return end_attempt(key.request, number, {Outcome::kNotSent, std::nullopt, ""});
+  if (!reason.empty()) return end_attempt(key.request, number, {Outcome::kNotSent, std::nullopt, ""});
   Time until = request->arrival.give_up_at;
   if (order.timeout) until = std::min(until, loop_.now() + span_from_module(*order.timeout));
-  request->attempts.back().timer =
-      loop_.at(until, [this, key] { call_off(key.request, key.number, Outcome::kNoAnswer); });
-  links_->send(
-      {key, order.engine, request->arrival.query, until - loop_.now(), request->memory_mb, request->rank});
+  const auto call_off_at = [this, key](Time at) {
+    return loop_.at(at, [this, key] { call_off(key.request, key.number, Outcome::kNoAnswer); });
+  };
+  const Time begin_by = sending(*request, order.engine, number).begin_by();
+  TimerKey& timer = request->attempts.back().timer;
+  if (begin_by < until) {
+    timer = loop_.at(begin_by, [this, key, until, call_off_at] {
+      if (!take_back(key.request, key.number)) attempt(key)->timer = call_off_at(until);
+    });
+  } else {
+    timer = call_off_at(until);
+  }
+  links_->send({key, order.engine, request->arrival.query, until, request->memory_mb, request->rank});
 }
 
 }  // namespace rookproxy
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -10,6 +10,7 @@
 
 #include "core/figures.h"
 #include "core/interfaces.h"
+#include "decide/sending.h"
 #include "log/log.h"
 #include "net/loop.h"
 
@@ -68,6 +69,7 @@
   void learn_members(const std::vector<Member>& members, bool remembered);
 
   // ---- from links
+  bool may_begin(AttemptKey key) override;
   void attempt_ended(AttemptKey key, AttemptEnd end) override;
   void attempt_noted(AttemptKey key, lemonshift::NoteKind kind, double amount) override;
   void probe_ended(EngineId engine, Outcome outcome, std::optional<LoadReport> report) override;
@@ -78,6 +80,8 @@
  private:
   struct Attempt {
     EngineId engine = 0;
+    std::string zone;  // the engine's when it was sent: names, as settings may number zones anew
+    std::uint32_t cell = 0;
     Time sent;
     bool out = true, may_have_run = true;
     TimerKey timer{};
@@ -109,7 +113,11 @@
   void push(lemonshift::Event event);
   void carry_out(const lemonshift::Action& action);
   void send(const lemonshift::Send& send);
-  std::optional<std::string> forbidden(const Request* request, const lemonshift::Send& send) const;
+  decide::RepeatRule repeat_rule(const Request& request) const;
+  decide::Sending sending(const Request& request, EngineId engine, std::size_t number) const;
+  std::string_view forbidden(const Request* request, const lemonshift::Send& send) const;
+  Time open_until(const Engine& engine) const;
+  bool take_back(RequestKey key, std::uint32_t number);
   void end_attempt(RequestKey key, std::uint32_t number, AttemptEnd end);
   void call_off(RequestKey key, std::uint32_t number, Outcome outcome);
   void cancel_attempt(RequestKey key, std::uint32_t number);
--- a/src/core/interfaces.h
+++ b/src/core/interfaces.h
@@ -84,7 +84,7 @@
   AttemptKey key;
   EngineId engine = 0;
   std::shared_ptr<const Query> query;
-  Duration budget{};
+  Time until{};  // called off then
   std::optional<double> memory_mb;
   int rank = 1;
 };
@@ -101,6 +101,8 @@
   virtual void send(const Order& order) = 0;
   // The core has ended the attempt: it is called off and never reported. True if no byte of it had left.
   virtual bool withdraw(AttemptKey key) = 0;
+  // The same, but only while no byte of it has left: else it goes on, and false.
+  virtual bool take_back(AttemptKey key) = 0;
   virtual void set_rank(AttemptKey key, int rank) = 0;
   virtual void probe(EngineId engine) = 0;
   // An engine's address, also when it changes or its process is a new one: former connections take nothing
@@ -113,9 +115,11 @@
   ~EngineLinks() = default;
 };
 
-// What links report; the core takes it in at the turn's end.
+// What links ask and report; the core takes reports in at the turn's end.
 class LinkEvents {
  public:
+  // Asked right before its first byte is handed to the kernel; changes nothing. If not, it ends as not sent.
+  virtual bool may_begin(AttemptKey key) = 0;
   virtual void attempt_ended(AttemptKey key, AttemptEnd end) = 0;
   virtual void attempt_noted(AttemptKey key, lemonshift::NoteKind kind, double amount) = 0;
   virtual void probe_ended(EngineId engine, Outcome outcome, std::optional<LoadReport> report) = 0;
--- a/src/link/lines.cpp
+++ b/src/link/lines.cpp
@@ -86,40 +86,77 @@
 }
 
 void LinesConnection::start(const Order& order) {
-  const auto budget =
-      std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(order.budget).count());
-  std::string fields = "queue=" + order.query->class_name + ",budget=" + std::to_string(budget);
-  if (order.memory_mb) {
-    fields += ",grant=" + std::to_string(std::max<long long>(0, std::llround(*order.memory_mb)));
+  open_by_id_[order.query->id].order = order;
+  waiting_.push_back(order.query->id);
+  begin_waiting();
+}
+
+void LinesConnection::on_connected() {
+  LinkConnection::on_connected();
+  begin_waiting();
+}
+
+// Whatever waits waits here and not in the stream: each is looked at once more in the moment in which its
+// first byte goes to the kernel, however late that is.
+void LinesConnection::begin_waiting() {
+  while (!waiting_.empty() && stream_->is_open() && stream_->is_connected() && stream_->queued() == 0) {
+    const auto found = open_by_id_.find(waiting_.front());
+    Open& open = found->second;
+    const Order& order = open.order;
+    if (!may_begin(order)) {
+      open_by_id_.erase(found);
+      waiting_.pop_front();
+      attempt_over();
+      continue;
+    }
+    const auto budget =
+        std::chrono::duration_cast<std::chrono::milliseconds>(order.until - pool_now()).count();
+    std::string fields =
+        "queue=" + order.query->class_name + ",budget=" + std::to_string(std::max<std::int64_t>(1, budget));
+    if (order.memory_mb) {
+      fields += ",grant=" + std::to_string(std::max<long long>(0, std::llround(*order.memory_mb)));
+    }
+    fields += ",rank=" + std::to_string(std::clamp(order.rank, 0, 3));
+    std::string bytes = "REQ " + order.query->id + " " + fields + " " +
+                        std::to_string(order.query->statement.size()) + "\r\n";
+    bytes += order.query->statement;
+    bytes += "\r\n";
+    const Stream::Ticket ticket = stream_->write(std::move(bytes), attempts_written());
+    open.begun = stream_->has_begun(ticket);
+    if (!open.begun) {  // the kernel took nothing: it is tried again once it does
+      stream_->take_back(ticket);
+      return;
+    }
+    waiting_.pop_front();
   }
-  fields += ",rank=" + std::to_string(std::clamp(order.rank, 0, 3));
-  std::string bytes =
-      "REQ " + order.query->id + " " + fields + " " + std::to_string(order.query->statement.size()) + "\r\n";
-  bytes += order.query->statement;
-  bytes += "\r\n";
-  Open open;
-  open.order = order;
-  open.ticket = stream_->write(std::move(bytes), attempts_written());
-  open_by_id_[order.query->id] = std::move(open);
+}
+
+bool LinesConnection::has_begun(AttemptKey attempt) const {
+  return std::any_of(open_by_id_.begin(), open_by_id_.end(),
+                     [&](const auto& one) { return one.second.order.key == attempt && one.second.begun; });
 }
 
 bool LinesConnection::withdraw(AttemptKey attempt) {
   const auto found = find(attempt);
   if (found == open_by_id_.end()) return false;
-  const bool unsent = stream_->take_back(found->second.ticket);
-  if (!unsent) {
+  const bool begun = found->second.begun;
+  if (begun) {
     // Its work is done once the first page is in; then only the pages are still held for us there.
     stream_->write((found->second.pages.empty() ? "STOP " : "END ") + found->first + "\r\n");
+  } else {
+    std::erase(waiting_, found->first);
   }
   open_by_id_.erase(found);
   look_for_what_is_due();
   attempt_over();
-  return unsent;
+  return !begun;
 }
 
 void LinesConnection::set_rank(AttemptKey attempt, int rank) {
   const auto found = find(attempt);
   if (found == open_by_id_.end()) return;
+  found->second.order.rank = rank;
+  if (!found->second.begun) return;
   stream_->write("NICE " + found->first + " " + std::to_string(std::clamp(rank, 0, 3)) + "\r\n");
 }
 
@@ -132,9 +169,10 @@
 void LinesConnection::drop_unsent() {
   for (auto at = open_by_id_.begin(); at != open_by_id_.end();) {
     const std::string id = at->first;
-    const Stream::Ticket ticket = (at++)->second.ticket;
-    if (stream_->take_back(ticket)) end(id, Outcome::kNoConnection);
+    const bool begun = (at++)->second.begun;
+    if (!begun) end(id, Outcome::kNotSent);
   }
+  waiting_.clear();
 }
 
 void LinesConnection::lost(std::string_view why) {
@@ -143,7 +181,7 @@
   open_ = 0;
   for (auto& [id, open] : all) {
     // A byte that was handed to the kernel may have arrived, whatever became of the connection.
-    if (!stream_->has_begun(open.ticket)) {
+    if (!open.begun) {
       unsent(open.order, why);
     } else {
       report(open.order.key, {Outcome::kConnectionLost, std::nullopt, std::string(why)});
@@ -165,13 +203,14 @@
   std::size_t used = 0;
   switch (parse_line_answer(bytes, answer, used)) {
     case LineParse::kMore:
-      if (!std::exchange(answer_begun_, true)) look_for_what_is_due();
+      if (answer_due_ == Time::max()) answer_due_ = pool_now() + limits().answer_time;
+      look_for_what_is_due();
       return 0;
     case LineParse::kBroken:
       break_off("an answer that can't be read");
       return bytes.size();
     case LineParse::kOne:
-      answer_begun_ = false;
+      answer_due_ = Time::max();
       heard();
       take(answer);
       if (stream_->is_open()) look_for_what_is_due();
@@ -179,10 +218,11 @@
   return used;
 }
 
+// Each from its own start: whatever else comes on the connection does not put it off.
 void LinesConnection::look_for_what_is_due() {
-  const bool pages = std::any_of(open_by_id_.begin(), open_by_id_.end(),
-                                 [](const auto& one) { return !one.second.pages.empty(); });
-  due_within(answer_begun_ ? limits().answer_time : pages ? limits().page_time : Duration(0));
+  Time due = answer_due_;
+  for (const auto& [id, open] : open_by_id_) due = std::min(due, open.due);
+  due_at(due);
 }
 
 void LinesConnection::take(const LineAnswer& answer) {
@@ -195,7 +235,8 @@
   }
   const std::string id(answer.id);
   const auto found = open_by_id_.find(id);
-  if (found == open_by_id_.end()) return;  // given up; its answer crossed our STOP
+  // Given up, and its answer crossed our STOP; or it has not begun, and what is answered is another attempt.
+  if (found == open_by_id_.end() || !found->second.begun) return;
   Open& open = found->second;
   if (use) open.report = parse_use(*use);
   if (answer.word == "data") {
@@ -242,6 +283,7 @@
                                 std::string_view body) {
   if (open.pages[number]) return;
   open.pages[number] = std::string(body);
+  open.due = pool_now() + limits().page_time;
   if (--open.missing > 0) return;
   std::string whole_body;
   for (const auto& page : open.pages) whole_body += *page;
--- a/src/link/lines.h
+++ b/src/link/lines.h
@@ -32,16 +32,20 @@
   using LinkConnection::LinkConnection;
   void start(const Order& order) override;
   bool withdraw(AttemptKey attempt) override;
+  bool has_begun(AttemptKey attempt) const override;
   void set_rank(AttemptKey attempt, int rank) override;
   void probe() override;
   void drop_unsent() override;
   void lost(std::string_view why) override;
   std::size_t on_bytes(std::string_view bytes) override;
+  void on_connected() override;
+  void on_flushed() override { begin_waiting(); }
 
  private:
   struct Open {
     Order order;
-    Stream::Ticket ticket = 0;
+    bool begun = false;      // a byte of it has been handed to the kernel: the peer may have seen it
+    Time due = Time::max();  // of an answer in pages: when the next must be in
     std::vector<std::optional<std::string>> pages;
     std::size_t missing = 0;
     std::optional<LoadReport> report;
@@ -50,11 +54,13 @@
   void take_page(const std::string& id, Open& open, std::size_t number, std::string_view body);
   void end(const std::string& id, Outcome outcome, std::string body = "");
   std::map<std::string, Open>::iterator find(AttemptKey attempt);
+  void begin_waiting();
   void look_for_what_is_due();
 
   std::map<std::string, Open> open_by_id_;
+  std::deque<std::string> waiting_;  // ids of what has not begun, in order
   std::string probe_tag_;
-  bool answer_begun_ = false;
+  Time answer_due_ = Time::max();  // of one of which a part has come
 };
 
 class LinesPool final : public Pool {
--- a/src/link/mysql.cpp
+++ b/src/link/mysql.cpp
@@ -73,6 +73,13 @@
   if (state_ == State::kReady) go_on();
 }
 
+bool MysqlConnection::may_run() {
+  if (may_begin(*order_)) return true;
+  order_.reset();
+  attempt_over();
+  return false;
+}
+
 void MysqlConnection::go_on() {
   state_ = State::kReady;
   if (thread_to_stop_) {
@@ -80,6 +87,7 @@
   }
   if (std::exchange(ping_wanted_, false)) return command(State::kPing, mysql::kPing, "");
   if (!order_) return;
+  if (!may_run()) return;
   const Query& query = *order_->query;
   const std::string& wanted = query.schema.empty() ? mysql_.account_.schema : query.schema;
   if (query.kind == Query::Kind::kUseSchema) return command(State::kRun, mysql::kInitDb, query.statement);
@@ -97,6 +105,8 @@
 }
 
 void MysqlConnection::execute(std::uint32_t id) {
+  state_ = State::kReady;
+  if (!may_run()) return go_on();
   const Query& query = *order_->query;
   std::string id_bytes;
   mysql::put_number(id_bytes, id, 4);
@@ -145,14 +155,22 @@
   retired_ = true;
   // The protocol can't call a statement off on its own connection. One that only reads is stopped by another;
   // one that writes is let run to its end, since half an effect may be worse than a whole one.
-  if (!writes) mysql_.stop_thread(engine_, thread_);
+  if (writes) return false;
+  mysql_.stop_thread(engine_, thread_);
+  // An answer that never ends, or an engine that has vanished, keeps it no longer than anybody could ask
+  // again.
+  due_at(pool_now() + limits().ids_kept);
   return false;
 }
 
+bool MysqlConnection::has_begun(AttemptKey attempt) const {
+  return order_ && order_->key == attempt && begun_ && stream_->has_begun(*begun_);
+}
+
 void MysqlConnection::drop_unsent() {
   if (!order_ || (begun_ && !stream_->take_back(*begun_))) return;
   const bool waits_for_answer = state_ == State::kRun;
-  end(Outcome::kNoConnection);
+  end(Outcome::kNotSent);
   if (waits_for_answer) break_off("taken back");
 }
 
@@ -238,6 +256,7 @@
     state_ = State::kLogin;
     send(mysql::login_payload(login));
   } else if (payload[0] == '\0') {
+    LinkConnection::on_connected();
     go_on();
   } else if (payload[0] == '\xfe') {
     mysql::PayloadReader reader(payload.substr(1));
--- a/src/link/mysql.h
+++ b/src/link/mysql.h
@@ -21,9 +21,11 @@
   MysqlConnection(MysqlPool& pool, SlotKey key, EngineId engine);
   void start(const Order& order) override;
   bool withdraw(AttemptKey attempt) override;
+  bool has_begun(AttemptKey attempt) const override;
   void probe() override;
   void drop_unsent() override;
   void lost(std::string_view why) override;
+  void on_connected() override {}  // it is up once it is logged in
   bool takes(const Query* query) const override;
   std::size_t on_bytes(std::string_view bytes) override;
   // Instead of serving: stops what that thread of the engine runs, and is closed.
@@ -40,7 +42,8 @@
   Stream::Ticket send(std::string_view payload, std::uint64_t* written = nullptr);
   void take_login(std::string_view payload);
   void prove(std::string_view plugin, std::string_view nonce);
-  void go_on();  // the next step of what is ordered, or of a probe
+  bool may_run();  // else the order is over
+  void go_on();    // the next step of what is ordered, or of a probe
   void execute(std::uint32_t id);
   void too_large();
   void response_over();
--- a/src/link/pool.cpp
+++ b/src/link/pool.cpp
@@ -1,6 +1,7 @@
 #include "link/pool.h"
 
 #include <algorithm>
+#include <cerrno>
 
 namespace rookproxy {
 namespace {
@@ -9,6 +10,13 @@
 // So many connections may end under an order that has not begun to leave, before it is told as 'no
 // connection'.
 constexpr int kMostTries = 3;
+constexpr Duration kRoomPause = std::chrono::milliseconds(5);
+
+// What says that we lack something, as opposed to a word of the peer's or of the way to it.
+bool is_our_lack(int fault) {
+  return fault == EMFILE || fault == ENFILE || fault == ENOBUFS || fault == ENOMEM ||
+         fault == EADDRNOTAVAIL || fault == EAGAIN;
+}
 }  // namespace
 
 void LinkConnection::open(Fd fd, std::size_t input_limit) {
@@ -29,6 +37,7 @@
 }
 
 const PoolLimits& LinkConnection::limits() const { return pool_.limits_; }
+Time LinkConnection::pool_now() const { return pool_.loop_.now(); }
 std::uint64_t* LinkConnection::attempts_written() const { return &pool_.figures_.attempts_written; }
 
 std::size_t LinkConnection::load() const { return writes_ ? std::max(open_, limits().spread) : open_; }
@@ -37,12 +46,18 @@
 
 void LinkConnection::unsent(const Order& order, std::string_view why) { pool_.unsent(*this, order, why); }
 
+bool LinkConnection::may_begin(const Order& order) {
+  if (pool_.events_.may_begin(order.key)) return true;
+  pool_.not_sent_later(order.key, Outcome::kNotSent);
+  return false;
+}
+
 // An answer that stops halfway leaves all others on its connection waiting behind it.
-void LinkConnection::due_within(Duration span) {
+void LinkConnection::due_at(Time at) {
+  if (std::exchange(due_at_, at) == at) return;
   pool_.loop_.cancel(due_timer_);
-  if (span == Duration(0)) return;
-  due_timer_ = pool_.loop_.at(pool_.loop_.now() + span,
-                              [this] { pool_.drop(key_, "an answer that stopped halfway"); });
+  if (at == Time::max()) return;
+  due_timer_ = pool_.loop_.at(at, [this] { pool_.drop(key_, "an answer that stopped halfway"); });
 }
 
 void LinkConnection::on_connected() {
@@ -85,6 +100,7 @@
     loop_.cancel(connection.silence_timer_);
     loop_.cancel(connection.due_timer_);
   }
+  loop_.cancel(held_timer_);
 }
 
 LinkConnection* Pool::find(SlotKey key) {
@@ -107,9 +123,8 @@
   return best;
 }
 
-// At the most connections, an idle one to any engine makes room.
-bool Pool::make_room() {
-  if (connections_.size() < limits_.most_connections) return true;
+// An idle one to any engine makes room for another.
+bool Pool::drop_idle() {
   for (const SlotKey key : connections_.keys()) {
     if (const LinkConnection* idle = find(key);
         idle->open_ == 0 && !idle->probing_ && !idle->dial_timer_.second) {
@@ -120,10 +135,19 @@
   return false;
 }
 
-LinkConnection* Pool::dial(EngineId engine) {
-  if (!make_room()) return nullptr;
-  Fd fd = connect_tcp(engines_[engine].address);
-  if (!fd) return nullptr;
+LinkConnection* Pool::dial(EngineId engine, bool* no_room) {
+  Fd fd;
+  bool lack = connections_.size() >= limits_.most_connections && !drop_idle();
+  while (!lack && !fd) {
+    fd = connect_tcp(engines_[engine].address);
+    if (fd) break;
+    if (!is_our_lack(errno)) return nullptr;
+    lack = !drop_idle();
+  }
+  if (lack) {
+    if (no_room) *no_room = true;
+    return nullptr;
+  }
   const SlotKey key = connections_.insert(nullptr);
   *connections_.find(key) = make(key, engine);
   engines_[engine].connections.push_back(key);
@@ -138,21 +162,23 @@
 // and none a load's, which can't be sent again, as far as there are descriptors.
 void Pool::place(const Order& order, Carried carried) {
   LinkConnection* connection = nullptr;
+  bool no_room = false;
   if (order.engine < engines_.size()) {
     connection = choose(order.engine, order.query.get());
     const std::size_t most = order.query->writes ? 1 : limits_.spread;
     if (!connection || (connection->load() >= most && carried.tries == 0)) {
-      if (LinkConnection* fresh = dial(order.engine)) connection = fresh;
+      if (LinkConnection* fresh = dial(order.engine, &no_room)) connection = fresh;
     }
   }
-  if (!connection) {
-    // Refused at once, out of descriptors or out of connections: nothing was sent. Told after this call.
-    carried_by_.erase(order.key);
-    loop_.defer([this, key = order.key] {
-      events_.attempt_ended(key, {Outcome::kNoConnection, std::nullopt, ""});
-    });
+  if (!connection && no_room && loop_.now() - carried.since < limits_.dial_timeout) {
+    carried.connection = 0;
+    carried_by_[order.key] = carried;
+    held_.push_back(order);
+    if (held_timer_.second == 0) held_timer_ = loop_.at(loop_.now() + kRoomPause, [this] { place_held(); });
     return;
   }
+  // Refused at once is the engine's word. That we have no room is none.
+  if (!connection) return not_sent_later(order.key, no_room ? Outcome::kNotSent : Outcome::kNoConnection);
   loop_.cancel(connection->idle_timer_);
   ++connection->open_;
   connection->writes_ |= order.query->writes;
@@ -163,6 +189,26 @@
   if (connection->open_ == 1) watch_silence(connection->key_);
 }
 
+// No byte of it has left. Told after this call, which may be the core's own.
+void Pool::not_sent_later(AttemptKey key, Outcome outcome) {
+  carried_by_.erase(key);
+  loop_.defer([this, key, outcome] { events_.attempt_ended(key, {outcome, std::nullopt, ""}); });
+}
+
+void Pool::place_held() {
+  held_timer_ = {};
+  for (const Order& order : std::exchange(held_, {})) {
+    const auto found = carried_by_.find(order.key);
+    if (found == carried_by_.end()) continue;  // called off meanwhile
+    const Carried carried = found->second;
+    if (events_.may_begin(order.key)) {
+      place(order, carried);
+    } else {
+      not_sent_later(order.key, Outcome::kNotSent);
+    }
+  }
+}
+
 // A connection that was reset while it was new or idle is no word against its engine, and one more that an
 // engine won't take is none either while others to it work. Only what fails anew, or was refused with nothing
 // else at work there, is told.
@@ -180,17 +226,21 @@
     return from.report(order.key, {Outcome::kNoConnection, std::nullopt, std::string(why)});
   }
   found->second.connection = 0;
-  loop_.defer([this, again = order, carried, closings = engines_[order.engine].closings]() mutable {
-    if (!carried_by_.contains(again.key)) return;       // called off meanwhile
-    if (engines_[again.engine].closings != closings) {  // closed meanwhile: it must not leave any more
-      carried_by_.erase(again.key);
-      return events_.attempt_ended(again.key, {Outcome::kNoConnection, std::nullopt, ""});
-    }
-    again.budget -= loop_.now() - carried.since;
+  loop_.defer([this, again = order, carried] {
+    if (!carried_by_.contains(again.key)) return;  // called off meanwhile
+    if (!events_.may_begin(again.key)) return not_sent_later(again.key, Outcome::kNotSent);
     place(again, carried);
   });
 }
 
+bool Pool::take_back(AttemptKey key) {
+  const auto found = carried_by_.find(key);
+  if (found == carried_by_.end()) return false;
+  const LinkConnection* connection = find(found->second.connection);
+  if (connection && connection->has_begun(key)) return false;
+  return withdraw(key);
+}
+
 bool Pool::withdraw(AttemptKey key) {
   const auto found = carried_by_.find(key);
   if (found == carried_by_.end()) return false;
@@ -251,7 +301,6 @@
 
 void Pool::engine_closed(EngineId engine) {
   if (engine >= engines_.size()) return;
-  ++engines_[engine].closings;
   engine_at(engine, engines_[engine].address);
 }
 
--- a/src/link/pool.h
+++ b/src/link/pool.h
@@ -24,8 +24,8 @@
   Duration idle = std::chrono::seconds(10);            // closed after this, well before the engine would
   Duration silence = std::chrono::milliseconds(1500);  // with attempts out: it takes no more. 0: never
   Duration probe_timeout = std::chrono::milliseconds(250);
-  // An answer that has begun is whole after this, or its connection is spoilt. Pages come one after the
-  // other.
+  // An answer that has begun is whole after this, or its connection is spoilt. Of pages, the next that its
+  // attempt still lacks is there after this.
   Duration answer_time = std::chrono::milliseconds(250), page_time = std::chrono::milliseconds(750);
   // Called off after this without a word on its connection: nobody can tell if that still works.
   Duration doubt = std::chrono::milliseconds(250);
@@ -43,6 +43,7 @@
 
   virtual void start(const Order& order) = 0;
   virtual bool withdraw(AttemptKey attempt) = 0;  // true: no byte of it had left
+  virtual bool has_begun(AttemptKey attempt) const = 0;
   virtual void set_rank(AttemptKey, int) {}
   virtual void probe() = 0;
   // Ends, as never run, what has not begun to leave.
@@ -62,15 +63,19 @@
   void break_off(std::string_view why);
   // No byte of it has left: it goes over another connection, or provably never ran.
   void unsent(const Order& order, std::string_view why);
-  // What has come of an answer must be whole after that time, or the connection is given up. 0: nothing is
+  // Asked right before its first byte is handed to the kernel. If not, it is over here, and told after this
+  // call.
+  bool may_begin(const Order& order);
+  // What has come of an answer must be whole by then, or the connection is given up. Time::max(): nothing is
   // due.
-  void due_within(Duration span);
+  void due_at(Time at);
   void attempt_over();  // one less open
   void report(AttemptKey attempt, AttemptEnd end);
   void heard();
   // How much of its room is taken: a load keeps others off while there are other connections.
   std::size_t load() const;
   const PoolLimits& limits() const;
+  Time pool_now() const;
   // Counts up when an attempt has been written to its last byte.
   std::uint64_t* attempts_written() const;
 
@@ -87,6 +92,7 @@
   std::unordered_set<std::string> used_ids_;
   std::deque<std::pair<Time, std::string>> ids_by_age_;
   Time heard_at_{};
+  Time due_at_ = Time::max();
   TimerKey dial_timer_{}, idle_timer_{}, silence_timer_{}, due_timer_{};
 };
 
@@ -97,6 +103,7 @@
 
   void send(const Order& order) override;
   bool withdraw(AttemptKey key) override;
+  bool take_back(AttemptKey key) override;
   void set_rank(AttemptKey key, int rank) override;
   void probe(EngineId engine) override;
   void engine_at(EngineId engine, const Endpoint& address) override;
@@ -108,7 +115,8 @@
   friend class LinkConnection;
   virtual std::unique_ptr<LinkConnection> make(SlotKey key, EngineId engine) = 0;
   virtual std::size_t input_limit() const = 0;
-  LinkConnection* dial(EngineId engine);
+  // None: refused at once, or there is no room for it, which is told in `no_room`.
+  LinkConnection* dial(EngineId engine, bool* no_room = nullptr);
 
   Loop& loop_;
   Log& log_;
@@ -125,14 +133,15 @@
   struct Engine {
     Endpoint address;
     std::vector<SlotKey> connections;
-    std::uint64_t closings = 0;  // how often it was closed to new work
     TimerKey probe_timer{};
   };
   LinkConnection* find(SlotKey key);
   LinkConnection* choose(EngineId engine, const Query* query);
   void place(const Order& order, Carried carried);
   void unsent(LinkConnection& from, const Order& order, std::string_view why);
-  bool make_room();
+  void not_sent_later(AttemptKey key, Outcome outcome);
+  void place_held();
+  bool drop_idle();
   void drop(SlotKey key, std::string_view why);
   void watch_silence(SlotKey key);
   void rest(LinkConnection& connection);
@@ -141,6 +150,9 @@
   std::vector<Engine> engines_;
   SlotTable<std::unique_ptr<LinkConnection>> connections_;
   std::map<AttemptKey, Carried> carried_by_;
+  // Wait for room for a connection, each for a dial's time; bounded by the requests that the core has open.
+  std::deque<Order> held_;
+  TimerKey held_timer_{};
 };
 
 }  // namespace rookproxy
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -44,6 +44,7 @@
 
 void Loop::run() {
   while (!stopped_) turn();
+  stopped_ = false;  // it may be run again
 }
 
 void Loop::run_timers() {
--- a/tests/dispatch/parts.cpp
+++ b/tests/dispatch/parts.cpp
@@ -344,6 +344,7 @@
     withdrawn.push_back(key);
     return unsent;
   }
+  bool take_back(AttemptKey key) override { return unsent && withdraw(key); }
   void set_rank(AttemptKey, int) override {}
   void probe(EngineId) override {}
   void engine_at(EngineId, const Endpoint&) override {}
