Close connections in order, in one place for both fronts

Stream::end_in_order: nothing more is handed to the user, what is queued leaves, then the half-close; what the peer still sends is read and dropped until it ends too or the bound has passed; the user hears of it once. Both fronts end broken and refused connections by it, and end_all() ends every connection for a process that stops: each once it has its answers, after one last look at what lies unread; has_connections() tells when all are gone.

Cause of the earlier note that shutdown(SHUT_WR) 'never returned': it did. flush() called it anew at each edge (stream.cpp: flush, flush_secured), and each call wakes the socket's own watchers with the next edge, so the loop turned with no wait until the connection closed. So the half-close is back, called once.

--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -97,7 +97,6 @@
 constexpr Duration kPieces = std::chrono::milliseconds(700);
 // Nobody is pushed out before what it sent with its connection could be read.
 constexpr Duration kFresh = std::chrono::milliseconds(20);
-constexpr Duration kLinger = std::chrono::milliseconds(300);
 constexpr std::size_t kUsualLength = 16 * 1024;  // of a frame; larger ones have to share a budget
 // Figures beyond these are no estimates: they would only mislead the module about what usual requests take.
 constexpr int kMostDeadlines = 4;                     // of its class, that a client may wait
@@ -217,6 +216,14 @@
     const decide::Denial denial = certificate_->proof(*front_.tls_).denial;
     if (denial != decide::Denial::kNone) end_when_idle(denial);
   }
+  // What lies unread was sent to a connection that was open: it is taken before that is decided.
+  void end_when_answered() {
+    stream_.read_now();
+    if (open_.empty()) return end();
+    dead_ = true;
+    front_.loop_.cancel(frame_timer_);
+    front_.loop_.cancel(idle_timer_);
+  }
   void go_away() { write(frames::make_frame(frames::kGoAway, 0, "")); }
   bool is_flushed() const { return stream_.queued() == 0; }
   bool is_receiving() const { return begun_ && front_.loop_.now() - heard_at_ < kPieces; }
@@ -288,14 +295,14 @@
 
   void rest() {
     if (dead_) {
-      if (open_.empty()) end_broken();
+      if (open_.empty()) end();
       return;
     }
     if (leaving_ != decide::Denial::kNone) {
       // Once, whatever else it sends: what crosses the word to go away is still refused by name.
       if (!open_.empty() || idle_timer_.second != 0) return;
-      idle_timer_ =
-          front_.loop_.at(front_.loop_.now() + kLinger, [this] { broken("its credentials are not good"); });
+      idle_timer_ = front_.loop_.at(front_.loop_.now() + front_.linger_,
+                                    [this] { broken("its credentials are not good"); });
       return;
     }
     front_.loop_.cancel(idle_timer_);
@@ -313,16 +320,16 @@
     dead_ = true;
     front_.loop_.cancel(frame_timer_);
     front_.loop_.cancel(idle_timer_);
-    if (open_.empty()) end_broken();
+    if (open_.empty()) end();
   }
 
-  void end_broken() {
-    if (std::exchange(ending_, true)) return;
-    // Closing with bytes unread would reset the connection and could take the error with it: let it arrive
-    // first, reading and dropping what comes meanwhile. No half-close (shutdown) before: under the full-size
-    // bench that call did not return for some connections of bad clients, and the node stopped.
+  void end() {
+    dead_ = true;
+    begun_ = false;
+    front_.unfinished_ -= std::exchange(reserved_, 0);
+    front_.loop_.cancel(frame_timer_);
     front_.loop_.cancel(idle_timer_);
-    idle_timer_ = front_.loop_.at(front_.loop_.now() + kLinger, [this] { front_.drop(key_); });
+    stream_.end_in_order(front_.linger_);
   }
 
   void reject(std::uint32_t stream, std::string_view why) {
@@ -515,7 +522,6 @@
   std::size_t skip_ = 0;
   bool dead_ = false;      // nothing more is taken
   bool unframed_ = false;  // nor read: where a frame begins is not known any more
-  bool ending_ = false;    // nothing more is written
   decide::Denial leaving_ = decide::Denial::kNone;
   std::size_t reserved_ = 0;  // of the budget for large frames
   bool begun_ = false;        // a frame, that is not yet whole
@@ -634,6 +640,12 @@
   for (const SlotKey key : connections_.keys()) find(key)->go_away();
 }
 
+void FramesFront::end_all(Duration bound) {
+  linger_ = bound;
+  accept_clients(false);
+  for (const SlotKey key : connections_.keys()) find(key)->end_when_answered();
+}
+
 void FramesFront::resize(std::size_t most_connections, std::size_t most_unfinished,
                          std::size_t most_untaken) {
   limits_.most_connections = most_connections;
--- a/src/front/frames.h
+++ b/src/front/frames.h
@@ -74,6 +74,11 @@
   // Keys, lists or rights have changed, and this is for new connections: those that are open are looked at
   // anew.
   void credentials_changed(std::shared_ptr<const tls::ServerContext> tls);
+  // The process is about to end: nobody is accepted any more, and every connection ends in order, each once
+  // what is open on it has its answers. A request that comes meanwhile is refused, one that comes behind our
+  // end is left alone. Clients that don't end their side are closed after `bound`.
+  void end_all(Duration bound);
+  bool has_connections() const { return connections_.size() > 0; }
   void accept_clients(bool accepting) { accepting ? acceptor_.start() : acceptor_.stop(); }
   // Other shares of what the dispatcher may hold; what is over them goes as others come.
   void resize(std::size_t most_connections, std::size_t most_unfinished, std::size_t most_untaken);
@@ -115,6 +120,7 @@
   std::size_t checking_ = 0;    // bytes of requests whose tokens wait to be checked
   std::size_t unfinished_ = 0;  // announced lengths of large frames that have begun
   bool draining_ = false;
+  Duration linger_ = std::chrono::milliseconds(300);  // for a client to end its side after we have ended ours
   Acceptor acceptor_;
 };
 
--- a/src/front/mysql.cpp
+++ b/src/front/mysql.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t kMostLongData = 4u << 20;   // bytes sent ahead for one statement
 // A token that waits to be checked at a log-in waits no longer.
 constexpr Duration kCheckTime = std::chrono::seconds(2);
-constexpr Duration kLoginTime = std::chrono::seconds(10), kLinger = std::chrono::milliseconds(300);
+constexpr Duration kLoginTime = std::chrono::seconds(10);
 constexpr std::size_t kMostQueued = 8u << 20;  // bytes that a client may leave unread
 
 // UTF-8 in its collations, ASCII and binary: all that passes to an engine's UTF-8 session without a change.
@@ -115,6 +115,12 @@
   bool is_flushed() const { return stream_.queued() == 0; }
   bool is_logged_in() const { return state_ == State::kReady || state_ == State::kBusy; }
 
+  // What lies unread was sent to a connection that was open: it is taken before that is decided.
+  void end_when_answered() {
+    stream_.read_now();
+    if (state_ != State::kBusy && state_ != State::kChecking) end();
+  }
+
   void answered(Answer answer) {
     request_.reset();
     state_ = State::kReady;
@@ -133,9 +139,7 @@
     }
     if (front_.leaving_ && state_ == State::kReady) {
       // Its next command has a process that stays. What it may have sent already is not run.
-      state_ = State::kDead;
-      stream_.end_writing();
-      return close_after(kLinger);
+      return end();
     }
     look_at_certificate();
     // What the client sent meanwhile has waited in the buffer.
@@ -162,9 +166,12 @@
   void fatal(std::uint16_t code, const std::string& text) {
     front_.log_.line(Level::kNotice, "mysql", text, {{"user", login_.user}});
     error(code, text);
+    end();
+  }
+  void end() {
     state_ = State::kDead;
-    stream_.end_writing();
-    close_after(kLinger);
+    front_.loop_.cancel(timer_);
+    stream_.end_in_order(front_.linger_);
   }
   void not_supported(const std::string& what) {
     error(mysql::kNotSupportedYet,
@@ -261,7 +268,8 @@
     const auto done = [this](access::Proof proof) {
       check_ = 0;
       token_checked(std::move(proof));
-      if (state_ == State::kReady) stream_.look_again();
+      if (state_ != State::kReady) return;
+      front_.ending_ ? end() : stream_.look_again();
     };
     auto proof = front_.gate_->check(token, source(), front_.loop_.now() + kCheckTime, done, check_);
     if (proof) token_checked(std::move(*proof));
@@ -690,6 +698,13 @@
   leaving_ = true;
 }
 
+void MysqlFront::end_all(Duration bound) {
+  linger_ = bound;
+  ending_ = true;
+  leave();
+  for (const SlotKey key : connections_.keys()) find(key)->end_when_answered();
+}
+
 void MysqlFront::drain() {
   // Destroyed at the turn's end: the signal may have come in the middle of its own turn.
   loop_.defer([this] { acceptor_.reset(); });
--- a/src/front/mysql.h
+++ b/src/front/mysql.h
@@ -35,6 +35,11 @@
   void drain();
   // A successor that is ready has the door: who is answered is let go, to log in anew there.
   void leave();
+  // The process is about to end: nobody is accepted any more, and every connection ends in order, once the
+  // command that is open on it has its answer. A command that comes meanwhile is not run. Clients that don't
+  // end their side are closed after `bound`.
+  void end_all(Duration bound);
+  bool has_connections() const { return connections_.size() > 0; }
   void resize(std::size_t most_connections) { config_.most_connections = most_connections; }
   bool is_flushed();
   std::uint16_t port() const { return port_; }
@@ -59,7 +64,8 @@
   std::uint32_t next_thread_ = 1;
   SlotTable<std::unique_ptr<Connection>> connections_;
   std::uint16_t port_;
-  bool leaving_ = false;
+  bool leaving_ = false, ending_ = false;
+  Duration linger_ = std::chrono::milliseconds(300);  // for a client to end its side after we have ended ours
   std::unique_ptr<Acceptor> acceptor_;
 };
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -38,6 +38,7 @@
 }
 
 void Stream::close() {
+  loop_.cancel(leave_timer_);
   if (!fd_) return;
   loop_.unwatch(key_, fd_.get());
   fd_.reset();
@@ -59,8 +60,34 @@
   flush();
 }
 
+// Once: shutdown() wakes whoever watches the socket, with an edge that says 'writable' for ever after, so one
+// for each edge would keep the loop turning with no wait until the connection closes.
+void Stream::half_close() {
+  if (std::exchange(half_closed_, true)) return;
+  ::shutdown(fd_.get(), SHUT_WR);
+  if (peer_ended_) fail("closed by the peer");
+}
+
+void Stream::end_in_order(Duration bound) {
+  if (!fd_ || ended_ || leaving_) return;
+  if (connecting_) return fail("ended before it was connected");
+  leaving_ = true;
+  held_ = false;
+  leave_timer_ = loop_.at(loop_.now() + bound, [this] {
+    leave_timer_ = {};
+    fail("the peer did not end in time");
+  });
+  end_writing();
+  look_again();  // what came before is in the way of the peer's end
+}
+
+void Stream::read_now() {
+  if (fd_ && !connecting_) read_some();
+}
+
 Stream::Ticket Stream::write(std::string bytes, std::uint64_t* written) {
   const Ticket ticket = next_++;
+  if (leaving_) return ticket;
   queued_ += bytes.size();
   output_.push_back({ticket, std::move(bytes), written});
   if (!connecting_ && output_.size() == 1) flush();
@@ -78,6 +105,7 @@
 }
 
 void Stream::hold_reading(bool hold) {
+  if (leaving_) return;
   if (std::exchange(held_, hold) && !hold) look_again();
 }
 
@@ -116,13 +144,14 @@
   Secured& s = *secured_;
   std::string record;
   while (fd_ && !ended_ && send_sealed()) {
-    if (!s.channel->is_ready()) return;
+    if (!s.channel->is_ready()) {
+      // A handshake that is cut short: what waits for its end could never be read.
+      if (leaving_) half_close();
+      return;
+    }
     if (output_.empty()) {
       if (!finishing_) return;
-      if (std::exchange(s.said_end, true)) {
-        ::shutdown(fd_.get(), SHUT_WR);
-        return;
-      }
+      if (std::exchange(s.said_end, true)) return half_close();
       s.channel->finish(s.sealed);
       continue;
     }
@@ -172,13 +201,13 @@
     }
     if (front_sent_ > 0) first_unbegun_ = output_.front().ticket + 1;
   }
-  if (finishing_ && output_.empty() && fd_) ::shutdown(fd_.get(), SHUT_WR);
+  if (finishing_ && output_.empty() && fd_ && !ended_) half_close();
 }
 
 void Stream::deliver() {
   // The user may close this stream, write to it or be called again through it; it must not be destroyed here.
   std::size_t used = 0;
-  while (used < input_.size() && fd_ && !held_) {
+  while (used < input_.size() && fd_ && !held_ && !leaving_) {
     const bool was_secured = secured_ != nullptr;
     const std::size_t now = user_.on_bytes(std::string_view(input_).substr(used));
     if (now == 0) break;
@@ -189,6 +218,7 @@
       return take_in(rest);
     }
   }
+  if (leaving_) used = input_.size();
   input_.erase(0, used);
   // One large message must not keep its room for the connection's life.
   if (input_.empty() && input_.capacity() > 2 * kUsualInput) input_.shrink_to_fit();
@@ -204,6 +234,7 @@
     const ssize_t got = ::recv(fd_.get(), chunk, room, 0);
     if (got > 0) {
       share += static_cast<std::size_t>(got);
+      if (leaving_) continue;
       if (secured_) {
         take_in({chunk, static_cast<std::size_t>(got)});
         continue;
@@ -212,6 +243,10 @@
       deliver();
       continue;
     }
+    if (got == 0 && leaving_ && !half_closed_) {
+      peer_ended_ = true;  // it may still take what is queued
+      return;
+    }
     // A channel that ended well has said so before.
     if (got == 0) return fail(secured_ ? "cut off by the peer" : "closed by the peer");
     if (errno == EINTR) continue;
@@ -235,7 +270,7 @@
   if (fd_ && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) read_some();
   if (fd_ && (events & EPOLLOUT) != 0) {
     flush();
-    if (queued() == 0 && !ended_) user_.on_flushed();
+    if (queued() == 0 && !ended_ && !leaving_) user_.on_flushed();
   }
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -54,6 +54,14 @@
   void close();
   // Nothing more is written after what is queued; the peer sees the end once that has left.
   void end_writing();
+  // An end that takes nothing with it: what is queued still leaves, then the peer sees our end (a
+  // half-close), and what it still sends is read and dropped, since a close over unread bytes resets the
+  // connection and may take with it what was just written. Once the peer ends too, or after `bound`, the
+  // stream closes and the user hears of that, and of nothing before. What is written from here on is dropped.
+  void end_in_order(Duration bound);
+  // What has come is handed to the user now, not in its turn: whoever is about to end the stream for its
+  // silence looks once more.
+  void read_now();
   // Stops reading (and so makes the peer wait), or goes on.
   void hold_reading(bool hold);
   // The user is ready for bytes that it left in the buffer.
@@ -76,6 +84,7 @@
   void take_in(std::string_view bytes);
   bool send_sealed();
   void fail(std::string why);
+  void half_close();
 
   Loop& loop_;
   Fd fd_;
@@ -83,6 +92,10 @@
   SlotKey key_ = 0;
   bool connecting_;
   bool held_ = false, ended_ = false, finishing_ = false;
+  bool leaving_ = false;      // ending in order: nothing is handed to the user
+  bool half_closed_ = false;  // the peer has been told our end
+  bool peer_ended_ = false;   // and has told its own
+  TimerKey leave_timer_{};
   std::size_t input_limit_;
   std::string input_;
   std::deque<Piece> output_;
