--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -540,7 +540,7 @@
       tls_(std::move(tls)),
       acceptor_(
           loop, std::move(listener), [this](Fd fd) { accept(std::move(fd)); }, false,
-          [this] { return connections_.size() < limits_.most_connections || quietest() != 0; }) {}
+          [this] { return connections_.size() < limits_.most_connections || next_to_evict() != 0; }) {}
 
 FramesFront::~FramesFront() = default;
 
@@ -579,18 +579,18 @@
 
 // Silent ones, those that stopped halfway, and those that asked once and stay for good must not shut out who
 // comes to ask, or who is still writing: of what has no request open, they give way in this order.
-SlotKey FramesFront::quietest() const {
-  SlotKey quietest = 0;
+SlotKey FramesFront::next_to_evict() const {
+  SlotKey evicted = 0;
   for (const SlotKey key : connections_.keys()) {
     const Connection* one = find(key);
     if (!one->may_go() || loop_.now() - one->came_at() < kFresh) continue;
-    if (quietest == 0 || one->quiet_since() < find(quietest)->quiet_since()) quietest = key;
+    if (evicted == 0 || one->quiet_since() < find(evicted)->quiet_since()) evicted = key;
   }
-  return quietest;
+  return evicted;
 }
 
 void FramesFront::accept(Fd fd) {
-  if (connections_.size() >= limits_.most_connections) drop(quietest());
+  if (connections_.size() >= limits_.most_connections) drop(next_to_evict());
   const SlotKey key = connections_.insert(nullptr);
   auto channel = tls_ ? std::make_unique<tls::ServerChannel>(tls_) : nullptr;
   *connections_.find(key) = std::make_unique<Connection>(*this, key, std::move(fd), std::move(channel));
--- a/src/front/frames.h
+++ b/src/front/frames.h
@@ -99,7 +99,7 @@
   };
   void accept(Fd fd);
   void drop(SlotKey key);
-  SlotKey quietest() const;  // of those that may go; 0: none
+  SlotKey next_to_evict() const;  // of those that may go; 0: none
   std::optional<Ticket> take_ticket(SlotKey key);
   void give_up(SlotKey ticket);  // its client waits no more
   void end_check(Ticket& ticket);
