Notice clients that go at once, end idle ones in order, bound what floods hold

A client that goes: Stream read nothing while held_ (frames: answers not taken), so neither FIN nor RST was seen and its requests went on until their deadlines; bytes that came in one piece with the end were sent on first (read_some reads up to the end). Now EPOLLRDHUP/HUP/ERR is heard at once, held or not (StreamUser::on_hangup): what is open is called off, nothing more of that client is read as a request, and what was written still gets there (end in order). The MySQL front did read on while a command ran or a token was checked, up to 4 MB a connection; now it holds reading there, and the hang-up is seen all the same. frames take(): a type 8 on a broken connection was dropped; it is heard. Ruled out: skip_ and unframed_ read on, so the end is seen (test).

Own closes: idle time, silence, half frames and eviction look once more at what lies unread and then end in order; a frame that has begun has its own time. An eighth of the clients' descriptors is kept for connections on their way out, so that eviction makes no newcomer wait; over that the one told first is closed. COM_QUIT ends in order. No order where answers are not taken: what an end would wait for is what there is too much of. A frame that was skipped counted as begun for ever after: over now.

Floods: a large frame on a broken connection took no budget (begin() returned first): 260 kB each for as long as an answer was owed. It counts in most_unfinished. MySQL: 64 kB before a log-in (4 MB before), large commands that have begun and answers not taken share budgets of 24 MB.

A scenario held the 300 ms between the last answer and the close; the end comes with the answer now, and 'expect c end' asks for nothing before it.

--- a/src/front/frames.cpp
+++ b/src/front/frames.cpp
@@ -161,6 +161,7 @@
     if (skip_ > 0) {
       const std::size_t skipped = std::min(skip_, bytes.size());
       skip_ -= skipped;
+      if (skip_ == 0) frame_over();
       return skipped;
     }
     frames::Frame frame;
@@ -178,15 +179,13 @@
           broken("oversized frame");
           return bytes.size();
         }
+        frame_begun();
         reject(frame.stream, "larger than a frame may be");
         skip_ = used;
         return on_bytes(bytes);
       case frames::Parse::kOne:
-        front_.loop_.cancel(frame_timer_);
-        begun_ = false;
-        front_.unfinished_ -= std::exchange(reserved_, 0);
         spoken_at_ = front_.loop_.now();
-        rest();
+        frame_over();
         take(frame);
     }
     return used;
@@ -194,6 +193,8 @@
 
   void on_closed(std::string_view) override { front_.drop(key_); }
   void on_flushed() override { stream_.hold_reading(false); }
+  // Nothing of a client that has gone is sent on, not even what it sent before.
+  void on_hangup() override { front_.client_gone(key_); }
 
   void answer(std::uint32_t stream, frames::Code code, const frames::Fields& fields, std::string_view body) {
     open_.erase(stream);
@@ -216,9 +217,21 @@
     const decide::Denial denial = certificate_->proof(*front_.tls_).denial;
     if (denial != decide::Denial::kNone) end_when_idle(denial);
   }
+  // Nothing more is taken nor written. Only who does not take its answers is closed otherwise (drop).
+  void end() {
+    if (std::exchange(ending_, true)) return;
+    dead_ = true;
+    begun_ = false;
+    front_.unfinished_ -= std::exchange(reserved_, 0);
+    front_.loop_.cancel(frame_timer_);
+    front_.loop_.cancel(idle_timer_);
+    front_.ending_.push_back(key_);
+    stream_.end_in_order(front_.linger_);
+  }
   // What lies unread was sent to a connection that was open: it is taken before that is decided.
+  void read_now() { stream_.read_now(); }
   void end_when_answered() {
-    stream_.read_now();
+    read_now();
     if (open_.empty()) return end();
     dead_ = true;
     front_.loop_.cancel(frame_timer_);
@@ -232,9 +245,9 @@
     std::vector<SlotKey> tickets;
     for (const auto& [stream, ticket] : open_) tickets.push_back(ticket);
     open_.clear();
-    stream_.close();
     return tickets;
   }
+  void close() { stream_.close(); }
 
  private:
   void write(std::string bytes) {
@@ -243,6 +256,8 @@
     if (stream_.queued() <= front_.limits_.most_queued) return;
     stream_.hold_reading(true);
     if (front_.untaken() > front_.limits_.most_untaken) {
+      // In no order: what an end in order would wait for is what there is too much of, and its client has
+      // left it lying.
       front_.log_.line(Level::kNotice, "frames", "answers not taken", {});
       front_.loop_.defer([&front = front_, key = key_] { front.drop(key); });
     }
@@ -251,8 +266,7 @@
   // A frame has begun. It may take up its length only while the budget for large ones lasts, and only for so
   // long.
   std::size_t begin(std::string_view bytes) {
-    if (dead_) return 0;  // its time is set
-    if (!std::exchange(begun_, true)) wait_for_frame(front_.limits_.patience);
+    frame_begun();
     if (bytes.size() < frames::kHeader || reserved_ > 0) return 0;
     frames::Frame head;
     const std::size_t length = frames::frame_length(bytes, head);
@@ -262,7 +276,7 @@
       front_.unfinished_ += length;
       return 0;
     }
-    if (head.type != frames::kRequest || head.stream == 0 || open_.contains(head.stream)) {
+    if (dead_ || head.type != frames::kRequest || head.stream == 0 || open_.contains(head.stream)) {
       unframed_ = true;
       broken("no room for a frame so large");
       return bytes.size();
@@ -279,11 +293,26 @@
   void wait_for_frame(Duration span) {
     front_.loop_.cancel(frame_timer_);
     frame_timer_ = front_.loop_.at(front_.loop_.now() + span, [this] {
-      if (open_.empty()) return front_.drop(key_);
+      frame_timer_ = {};
+      read_now();
+      const bool is_late = begun_ || spoken_at_ == Time();
+      if (dead_ || frame_timer_.second != 0 || !is_late) return;
+      if (open_.empty()) return end();
       wait_for_frame(front_.limits_.patience);
     });
   }
 
+  void frame_begun() {
+    if (!std::exchange(begun_, true) && !dead_) wait_for_frame(front_.limits_.patience);
+  }
+
+  void frame_over() {
+    front_.loop_.cancel(frame_timer_);
+    begun_ = false;
+    front_.unfinished_ -= std::exchange(reserved_, 0);
+    rest();
+  }
+
   // Nothing more is taken here, for that reason; once nothing is open the connection ends.
   void end_when_idle(decide::Denial reason) {
     if (dead_ || leaving_ != decide::Denial::kNone) return;
@@ -307,7 +336,12 @@
     }
     front_.loop_.cancel(idle_timer_);
     if (!open_.empty()) return;
-    idle_timer_ = front_.loop_.at(front_.loop_.now() + front_.limits_.idle, [this] { front_.drop(key_); });
+    idle_timer_ = front_.loop_.at(front_.loop_.now() + front_.limits_.idle, [this] {
+      idle_timer_ = {};
+      read_now();
+      // A frame that has begun has its own time, and its end sets this one anew.
+      if (open_.empty() && !begun_ && idle_timer_.second == 0) end();
+    });
   }
 
   // Nothing more is taken here. What was asked before still gets its one final answer, each by its own
@@ -323,15 +357,6 @@
     if (open_.empty()) end();
   }
 
-  void end() {
-    dead_ = true;
-    begun_ = false;
-    front_.unfinished_ -= std::exchange(reserved_, 0);
-    front_.loop_.cancel(frame_timer_);
-    front_.loop_.cancel(idle_timer_);
-    stream_.end_in_order(front_.linger_);
-  }
-
   void reject(std::uint32_t stream, std::string_view why) {
     front_.log_.line(Level::kInfo, "frames", why, {});
     answer(stream, frames::kFailed, {}, why);
@@ -339,6 +364,7 @@
 
   void take(const frames::Frame& frame) {
     if (dead_) {
+      if (frame.type == frames::kAbandon) return stop_waiting(frame.stream);
       if (frame.type != frames::kRequest || frame.stream == 0 || open_.contains(frame.stream)) return;
       return answer(frame.stream, frames::kRefused, {{"pushback", "0"}}, "this connection ends");
     }
@@ -347,13 +373,7 @@
         if (frame.stream == 0 || open_.contains(frame.stream)) return broken("request on a stream in use");
         return request(frame);
       case frames::kAbandon:
-        if (const auto found = open_.find(frame.stream); found != open_.end()) {
-          const SlotKey ticket = found->second;
-          open_.erase(found);
-          front_.give_up(ticket);
-          rest();
-        }
-        return;  // its answer has crossed this on the way: fine
+        return stop_waiting(frame.stream);
       case frames::kIsReady:
         return write(frames::make_frame(frames::kReady, frame.stream,
                                         std::string_view(front_.draining_ ? "\1\0" : "\0\0", 2)));
@@ -362,6 +382,15 @@
     }
   }
 
+  void stop_waiting(std::uint32_t stream) {
+    const auto found = open_.find(stream);
+    if (found == open_.end()) return;  // its answer has crossed this on the way: fine
+    const SlotKey ticket = found->second;
+    open_.erase(found);
+    front_.give_up(ticket);
+    rest();
+  }
+
   void request(const frames::Frame& frame) {
     std::string_view body = frame.payload;
     frames::Fields fields;
@@ -522,6 +551,7 @@
   std::size_t skip_ = 0;
   bool dead_ = false;      // nothing more is taken
   bool unframed_ = false;  // nor read: where a frame begins is not known any more
+  bool ending_ = false;    // nor written
   decide::Denial leaving_ = decide::Denial::kNone;
   std::size_t reserved_ = 0;  // of the budget for large frames
   bool begun_ = false;        // a frame, that is not yet whole
@@ -540,7 +570,7 @@
       tls_(std::move(tls)),
       acceptor_(
           loop, std::move(listener), [this](Fd fd) { accept(std::move(fd)); }, false,
-          [this] { return connections_.size() < limits_.most_connections || next_to_evict() != 0; }) {}
+          [this] { return !is_full() || next_to_evict() != 0; }) {}
 
 FramesFront::~FramesFront() = default;
 
@@ -589,8 +619,34 @@
   return evicted;
 }
 
+bool FramesFront::is_full() const {
+  return connections_.size() - ending_.size() + most_ending() >= limits_.most_connections;
+}
+
+// Who has said something that lies unread is not the quietest any more.
+void FramesFront::evict() {
+  for (std::size_t looks = connections_.size();; --looks) {
+    const SlotKey key = next_to_evict();
+    if (key == 0 || !is_full()) return;  // what it said has ended one
+    Connection* one = find(key);
+    const auto quiet = one->quiet_since();
+    one->read_now();
+    if (one->may_go() && (looks <= 1 || one->quiet_since() == quiet)) return one->end();
+  }
+}
+
+// What it waited for is called off at once; what was written to it still gets there.
+void FramesFront::client_gone(SlotKey key) {
+  Connection* connection = find(key);
+  if (!connection) return;
+  connection->end();
+  for (const SlotKey ticket : connection->abandon()) give_up(ticket);
+}
+
 void FramesFront::accept(Fd fd) {
-  if (connections_.size() >= limits_.most_connections) drop(next_to_evict());
+  if (is_full()) evict();
+  // Where the descriptors for clients are all in use, the first that was told its end has had its time.
+  if (connections_.size() >= limits_.most_connections && !ending_.empty()) drop(ending_.front());
   const SlotKey key = connections_.insert(nullptr);
   auto channel = tls_ ? std::make_unique<tls::ServerChannel>(tls_) : nullptr;
   *connections_.find(key) = std::make_unique<Connection>(*this, key, std::move(fd), std::move(channel));
@@ -601,6 +657,8 @@
   Connection* connection = find(key);
   if (!connection) return;
   for (const SlotKey ticket : connection->abandon()) give_up(ticket);
+  connection->close();
+  std::erase(ending_, key);
   if (gate_) gate_->source_gone(key);
   auto kept = std::make_shared<std::unique_ptr<Connection>>(std::move(*connections_.take(key)));
   loop_.defer([kept] {});
--- a/src/front/frames.h
+++ b/src/front/frames.h
@@ -1,11 +1,13 @@
 // The platform's front: binary frames over TCP (PROTOCOL, "Clients to dispatchers").
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_set>
+#include <vector>
 
 #include "access/certificate.h"
 #include "core/dispatcher.h"
@@ -99,6 +101,12 @@
   };
   void accept(Fd fd);
   void drop(SlotKey key);
+  // Of the descriptors for clients this part is kept for connections on their way out: they end in order, and
+  // meanwhile others have come.
+  std::size_t most_ending() const { return std::max<std::size_t>(1, limits_.most_connections / 8); }
+  bool is_full() const;
+  void evict();
+  void client_gone(SlotKey key);
   SlotKey next_to_evict() const;  // of those that may go; 0: none
   std::optional<Ticket> take_ticket(SlotKey key);
   void give_up(SlotKey ticket);  // its client waits no more
@@ -116,6 +124,7 @@
   std::unique_ptr<Sweep> sweep_;  // made when it is first needed
   SlotTable<std::unique_ptr<Connection>> connections_;
   SlotTable<Ticket> tickets_;
+  std::vector<SlotKey> ending_;  // of the connections, the first to go first
   std::unordered_set<std::string> open_calls_;
   std::size_t checking_ = 0;    // bytes of requests whose tokens wait to be checked
   std::size_t unfinished_ = 0;  // announced lengths of large frames that have begun
--- a/src/front/mysql.cpp
+++ b/src/front/mysql.cpp
@@ -18,7 +18,9 @@
 // A token that waits to be checked at a log-in waits no longer.
 constexpr Duration kCheckTime = std::chrono::seconds(2);
 constexpr Duration kLoginTime = std::chrono::seconds(10);
-constexpr std::size_t kMostQueued = 8u << 20;  // bytes that a client may leave unread
+constexpr std::size_t kMostQueued = 8u << 20;     // bytes that a client may leave unread
+constexpr std::size_t kMostLogin = 64 * 1024;     // bytes of a packet before the log-in is through
+constexpr std::size_t kUsualCommand = 16 * 1024;  // larger ones that have begun share a budget
 
 // UTF-8 in its collations, ASCII and binary: all that passes to an engine's UTF-8 session without a change.
 bool passes_as_utf8(unsigned charset) {
@@ -54,20 +56,24 @@
     reply(mysql::greeting_payload(greeting));
     close_after(kLoginTime);
   }
-  ~Connection() { front_.loop_.cancel(timer_); }
+  ~Connection() {
+    front_.loop_.cancel(timer_);
+    front_.unfinished_ -= reserved_;
+  }
 
   std::size_t on_bytes(std::string_view bytes) override {
     if (state_ == State::kDead) return bytes.size();
     if (state_ == State::kBusy || state_ == State::kChecking)
       return 0;  // one command at a time, as a server's session has it
-    mysql::Message message = mysql::take_message(bytes, kMostStatement);
-    if (message.used == 0) return 0;
+    const bool login = state_ == State::kLogin || state_ == State::kProof;
+    mysql::Message message = mysql::take_message(bytes, login ? kMostLogin : kMostStatement);
+    if (message.used == 0) return has_room_for(bytes) ? 0 : bytes.size();
+    front_.unfinished_ -= std::exchange(reserved_, 0);
     if (message.too_large) {
       sequence_ = message.next_sequence;
       fatal(mysql::kPacketTooLarge, "Got a packet bigger than 'max_allowed_packet' bytes");
       return bytes.size();
     }
-    const bool login = state_ == State::kLogin || state_ == State::kProof;
     if (message.out_of_order || message.first_sequence != (login ? sequence_ : 0)) {
       sequence_ = message.next_sequence;
       fatal(mysql::kPacketsOutOfOrder, "Got packets out of order");
@@ -90,6 +96,8 @@
   }
 
   void on_closed(std::string_view) override { front_.drop(key_); }
+  // Nothing of a client that has gone is sent on, not even what it sent before.
+  void on_hangup() override { front_.client_gone(key_); }
 
   // Who showed a certificate that is not good any more is let go, once it waits for nothing.
   void look_at_certificate() {
@@ -108,22 +116,32 @@
       front_.gate_->cancel(std::exchange(check_, 0));
       front_.gate_->source_gone(source());
     }
-    stream_.close();
     return std::exchange(request_, std::nullopt);
   }
+  void close() { stream_.close(); }
+  // Nothing more is taken nor written. Only who does not take its answers is closed otherwise (drop).
+  void end() {
+    state_ = State::kDead;
+    front_.loop_.cancel(timer_);
+    front_.unfinished_ -= std::exchange(reserved_, 0);
+    stream_.end_in_order(front_.linger_);
+  }
+  void read_now() { stream_.read_now(); }
 
   bool is_flushed() const { return stream_.queued() == 0; }
+  std::size_t untaken() const { return stream_.queued(); }
   bool is_logged_in() const { return state_ == State::kReady || state_ == State::kBusy; }
 
   // What lies unread was sent to a connection that was open: it is taken before that is decided.
   void end_when_answered() {
-    stream_.read_now();
+    read_now();
     if (state_ != State::kBusy && state_ != State::kChecking) end();
   }
 
   void answered(Answer answer) {
     request_.reset();
     state_ = State::kReady;
+    stream_.hold_reading(false);
     close_after(front_.config_.idle);
     if (answer.verdict == Verdict::kServed) {
       served(std::move(answer.body));
@@ -142,8 +160,6 @@
       return end();
     }
     look_at_certificate();
-    // What the client sent meanwhile has waited in the buffer.
-    if (state_ == State::kReady) stream_.look_again();
   }
 
  private:
@@ -156,10 +172,16 @@
     std::size_t long_bytes = 0;
   };
 
-  void reply(std::string_view payload) {
-    stream_.write(mysql::packets(payload, sequence_));
-    if (stream_.queued() > kMostQueued)
-      front_.loop_.defer([&front = front_, key = key_] { front.drop(key); });
+  void reply(std::string_view payload) { write(mysql::packets(payload, sequence_)); }
+  // Who does not take its answers is closed in no order: what an end in order would wait for is what there is
+  // too much of.
+  void write(std::string packets) {
+    stream_.write(std::move(packets));
+    const std::size_t queued = stream_.queued();
+    if (queued <= kUsualCommand) return;
+    if (queued <= kMostQueued && front_.untaken() <= front_.most_untaken_) return;
+    front_.log_.line(Level::kNotice, "mysql", "answers not taken", {{"user", login_.user}});
+    front_.loop_.defer([&front = front_, key = key_] { front.drop(key); });
   }
   void ok() { reply(mysql::ok_payload(0, 0, autocommit_ ? mysql::kAutocommit : 0)); }
   void error(std::uint16_t code, const std::string& text) { reply(mysql::error_payload(code, text)); }
@@ -168,11 +190,6 @@
     error(code, text);
     end();
   }
-  void end() {
-    state_ = State::kDead;
-    front_.loop_.cancel(timer_);
-    stream_.end_in_order(front_.linger_);
-  }
   void not_supported(const std::string& what) {
     error(mysql::kNotSupportedYet,
           "rookproxy doesn't support " + what + ": consecutive statements may run on different engines");
@@ -181,7 +198,27 @@
 
   void close_after(Duration pause) {
     front_.loop_.cancel(timer_);
-    timer_ = front_.loop_.at(front_.loop_.now() + pause, [this] { front_.drop(key_); });
+    timer_ = front_.loop_.at(front_.loop_.now() + pause, [this] {
+      timer_ = {};
+      read_now();  // a command that lies there sets it anew
+      if (state_ != State::kBusy && state_ != State::kChecking && timer_.second == 0) end();
+    });
+  }
+
+  // A command that has begun may take up its length only while the budget for large ones lasts. False: its
+  // client has been told.
+  bool has_room_for(std::string_view bytes) {
+    if (bytes.size() < mysql::kHeaderSize || reserved_ > 0) return true;
+    const std::size_t length = PayloadReader(bytes.substr(0, 3)).number(3);
+    if (length <= kUsualCommand) return true;
+    if (front_.unfinished_ + length > front_.most_unfinished_) {
+      sequence_ = static_cast<std::uint8_t>(bytes[3] + 1);
+      fatal(mysql::kOutOfResources, "No room for a command so large");
+      return false;
+    }
+    reserved_ = length;
+    front_.unfinished_ += length;
+    return true;
   }
 
   // ---- log-in
@@ -267,12 +304,14 @@
     state_ = State::kChecking;
     const auto done = [this](access::Proof proof) {
       check_ = 0;
+      stream_.hold_reading(false);
       token_checked(std::move(proof));
       if (state_ != State::kReady) return;
-      front_.ending_ ? end() : stream_.look_again();
+      if (front_.ending_) end();
     };
     auto proof = front_.gate_->check(token, source(), front_.loop_.now() + kCheckTime, done, check_);
-    if (proof) token_checked(std::move(*proof));
+    if (proof) return token_checked(std::move(*proof));
+    stream_.hold_reading(true);
   }
 
   void token_checked(access::Proof proof) {
@@ -383,7 +422,7 @@
     PayloadReader reader(payload.substr(1));
     switch (static_cast<std::uint8_t>(payload[0])) {
       case mysql::kQuit:
-        return front_.loop_.defer([&front = front_, key = key_] { front.drop(key); });
+        return end();
       case mysql::kPing:
         return ok();
       case mysql::kChangeUser:
@@ -553,6 +592,8 @@
     pending_ = kind;
     pending_writes_ = writes;
     state_ = State::kBusy;
+    // What it sends ahead waits in the kernel, and holds no memory here.
+    stream_.hold_reading(true);
     front_.loop_.cancel(timer_);
     request_ = front_.core_.accept(arrival, front_, key_);
   }
@@ -573,9 +614,7 @@
     }
     if (!autocommit_ && pending_ != Query::Kind::kPrepare) mysql::clear_autocommit(packets);
     renumber(packets, sequence_);
-    stream_.write(std::move(packets));
-    if (stream_.queued() > kMostQueued)
-      front_.loop_.defer([&front = front_, key = key_] { front.drop(key); });
+    write(std::move(packets));
   }
 
   MysqlFront& front_;
@@ -593,6 +632,7 @@
   std::map<std::uint32_t, Statement> statements_;
   std::uint32_t next_statement_ = 1;
   std::optional<RequestKey> request_;
+  std::size_t reserved_ = 0;                       // of the budget for large commands
   Query::Kind pending_ = Query::Kind::kStatement;  // what the client waits for
   bool pending_writes_ = false;
   Statement pending_statement_;
@@ -641,8 +681,10 @@
     if (!find(key)->is_logged_in() && (oldest == 0 || key < oldest)) oldest = key;
   }
   if (oldest == 0) return false;
-  drop(oldest);
-  return true;
+  // A log-in may lie unread. Nothing but a greeting was written to the others, which a reset may take along.
+  find(oldest)->read_now();
+  if (!find(oldest)->is_logged_in()) drop(oldest);
+  return connections_.size() < config_.most_connections;
 }
 
 void MysqlFront::accept(Fd fd) {
@@ -658,10 +700,25 @@
   *connections_.find(key) = std::make_unique<Connection>(*this, key, std::move(fd));
 }
 
+// What it waited for is called off at once; what was written to it still gets there.
+void MysqlFront::client_gone(SlotKey key) {
+  Connection* connection = find(key);
+  if (!connection) return;
+  connection->end();
+  if (const auto request = connection->abandon()) core_.asker_gone(*request);
+}
+
+std::size_t MysqlFront::untaken() {
+  std::size_t sum = 0;
+  for (const SlotKey key : connections_.keys()) sum += find(key)->untaken();
+  return sum;
+}
+
 void MysqlFront::drop(SlotKey key) {
   Connection* connection = find(key);
   if (!connection) return;
   if (const auto request = connection->abandon()) core_.asker_gone(*request);
+  connection->close();
   auto kept = std::make_shared<std::unique_ptr<Connection>>(std::move(*connections_.take(key)));
   loop_.defer([kept] {});
 }
--- a/src/front/mysql.h
+++ b/src/front/mysql.h
@@ -40,14 +40,24 @@
   // end their side are closed after `bound`.
   void end_all(Duration bound);
   bool has_connections() const { return connections_.size() > 0; }
-  void resize(std::size_t most_connections) { config_.most_connections = most_connections; }
+  // Other shares of what the dispatcher may hold: connections; bytes, for all of them together, of large
+  // commands that have begun, and of answers that are not taken.
+  void resize(std::size_t most_connections, std::size_t most_unfinished = 24u << 20,
+              std::size_t most_untaken = 24u << 20) {
+    config_.most_connections = most_connections;
+    most_unfinished_ = most_unfinished;
+    most_untaken_ = most_untaken;
+  }
   bool is_flushed();
+  bool is_receiving_large() const { return unfinished_ > 0; }
   std::uint16_t port() const { return port_; }
 
  private:
   class Connection;
   void accept(Fd fd);
   void drop(SlotKey key);
+  void client_gone(SlotKey key);
+  std::size_t untaken();
   bool make_room();
   Connection* find(SlotKey key);
   std::string new_id();
@@ -63,6 +73,8 @@
   std::uint64_t id_state_;
   std::uint32_t next_thread_ = 1;
   SlotTable<std::unique_ptr<Connection>> connections_;
+  std::size_t most_unfinished_ = 24u << 20, most_untaken_ = 24u << 20;
+  std::size_t unfinished_ = 0;  // announced lengths of large commands that have begun
   std::uint16_t port_;
   bool leaving_ = false, ending_ = false;
   Duration linger_ = std::chrono::milliseconds(300);  // for a client to end its side after we have ended ours
--- a/src/mysql/protocol.h
+++ b/src/mysql/protocol.h
@@ -46,6 +46,7 @@
 // Errors of the server's own list, by their numbers there.
 enum Error : std::uint16_t {
   kTooManyConnections = 1040,
+  kOutOfResources = 1041,
   kBadHandshake = 1043,
   kDatabaseDenied = 1044,
   kAccessDenied = 1045,
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -267,6 +267,7 @@
     if (secured_) take_in({});  // the one who connects speaks first
     user_.on_connected();
   }
+  if (fd_ && !leaving_ && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) user_.on_hangup();
   if (fd_ && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) read_some();
   if (fd_ && (events & EPOLLOUT) != 0) {
     flush();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -22,6 +22,9 @@
   virtual void on_closed(std::string_view why) = 0;
   // What was queued has left.
   virtual void on_flushed() {}
+  // The peer has ended its side or is gone, perhaps behind bytes that are still unread, also while reading is
+  // held. Those bytes are handed over as usual, unless the user ends the stream here.
+  virtual void on_hangup() {}
 
  protected:
   ~StreamUser() = default;
--- a/tests/dispatch/closes.cpp
+++ b/tests/dispatch/closes.cpp
@@ -1,5 +1,7 @@
 // How connections of clients end: in an order that the test controls, on real sockets, with the loop in a
 // thread of its own and the client in the test's.
+#include <malloc.h>
+#include <netinet/tcp.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -9,7 +11,10 @@
 #include <cerrno>
 #include <cstdio>
 #include <deque>
+#include <fstream>
+#include <functional>
 #include <future>
+#include <map>
 #include <mutex>
 #include <sstream>
 
@@ -60,8 +65,8 @@
     });
     thread_.join();
   }
-  bool until(const std::function<bool()>& holds) {
-    const auto end = std::chrono::steady_clock::now() + kPatience;
+  bool until(const std::function<bool()>& holds, std::chrono::milliseconds within = kPatience) {
+    const auto end = std::chrono::steady_clock::now() + within;
     while (std::chrono::steady_clock::now() < end) {
       if (run(holds)) return true;
       std::this_thread::sleep_for(1ms);
@@ -403,3 +408,276 @@
   CHECK(bench.host.until([&] { return !bench.mysql->has_connections(); }));
   CHECK(bench.orders.size() == 1);
 }
+
+namespace {
+
+// The steps of a request's life at which its client may go, each brought about by the test.
+struct Going {
+  const char* how;
+  std::function<void(FrontBench&, Peer&)> go;
+};
+// The ways to go while the front reads nothing: the end must be seen all the same, and at once.
+const std::vector<Going>& ways_to_go() {
+  static const std::vector<Going> ways{
+      {"ends its side", [](FrontBench&, Peer& peer) { ::shutdown(peer.fd().get(), SHUT_WR); }},
+      {"closes", [](FrontBench&, Peer& peer) { peer.close(); }},
+      {"resets",
+       [](FrontBench&, Peer& peer) {
+         const linger none{1, 0};
+         ::setsockopt(peer.fd().get(), SOL_SOCKET, SO_LINGER, &none, sizeof none);
+         peer.close();
+       }},
+  };
+  return ways;
+}
+
+}  // namespace
+
+TEST_CASE("frames: a client that has gone is noticed while nothing is read from it") {
+  // Guards against attempts for nobody: the end lay unseen while the client's answers were not taken.
+  for (const auto& [how, go] : ways_to_go()) {
+    INFO(how);
+    FramesFront::Limits limits;
+    limits.most_queued = 64 * 1024;
+    FrontBench bench(limits);
+    Peer client = bench.client();
+    // Answers until the kernel takes no more, so that reading is held; then one more is open.
+    std::uint32_t stream = 0;
+    client.send(bench.request(++stream));
+    REQUIRE(bench.sent(stream));
+    const std::string body(40'000, 'r');
+    const auto is_queued = [&] { return bench.host.run([&] { return !bench.frames->is_flushed(); }); };
+    while (!is_queued()) {
+      client.send(bench.request(++stream));
+      REQUIRE(bench.sent(stream));
+      bench.serve(stream - 2, body);
+      REQUIRE(bench.host.until([&] { return bench.core.open_requests() == 1; }));
+    }
+    std::uint32_t last = stream;
+    for (int more = 0; more < 3; ++more) client.send(bench.request(++stream));
+    REQUIRE(bench.sent(stream));
+    for (; last < stream; ++last) bench.serve(last - 1, body);
+    REQUIRE(bench.host.until([&] { return bench.core.open_requests() == 1; }));
+    client.send(bench.request(++stream));  // lies unread, and must stay so
+    go(bench, client);
+    // Well before its deadline, which is 3 s off.
+    CHECK(bench.host.until([&] { return bench.core.open_requests() == 0; }, 1500ms));
+    CHECK(bench.host.run([&] { return bench.withdrawn.size(); }) == 1);
+    CHECK(bench.host.run([&] { return bench.orders.size(); }) == stream - 1);
+  }
+}
+
+TEST_CASE("mysql: a client that has gone is noticed while its command runs") {
+  for (const auto& [how, go] : ways_to_go()) {
+    INFO(how);
+    FrontBench bench;
+    Peer client = bench.mysql_client();
+    client.send(FrontBench::query("SELECT 1"));
+    REQUIRE(bench.sent(1));
+    client.send(FrontBench::query("SELECT 2") + FrontBench::query(std::string(50'000, 'x')));
+    go(bench, client);
+    CHECK(bench.host.until([&] { return bench.core.open_requests() == 0; }));
+    CHECK(bench.host.run([&] { return bench.withdrawn.size(); }) == 1);
+    CHECK(bench.host.run([&] { return bench.orders.size(); }) == 1);
+  }
+}
+
+TEST_CASE("fronts: what came in one piece with its client's end is not sent on") {
+  FrontBench bench;
+  Peer of_frames = bench.client(), of_mysql = bench.mysql_client();
+  REQUIRE(bench.host.until([&] { return bench.frames->has_connections(); }));
+  bench.host.run([&] {
+    of_frames.send(bench.request(1) + bench.request(2));
+    of_mysql.send(FrontBench::query("SELECT 1"));
+    of_frames.close();
+    of_mysql.close();
+  });
+  CHECK(
+      bench.host.until([&] { return !bench.frames->has_connections() && !bench.mysql->has_connections(); }));
+  CHECK(bench.orders.empty());
+  CHECK(bench.core.open_requests() == 0);
+}
+
+TEST_CASE("frames: an abandoned stream is called off on a broken connection, too") {
+  // Guards against attempts for somebody who has gone, for as long as another stream keeps the connection.
+  FrontBench bench;
+  Peer client = bench.client();
+  client.send(bench.request(1) + bench.request(2));
+  REQUIRE(bench.sent(2));
+  client.send(frames::make_frame(77, 3, "") + frames::make_frame(frames::kAbandon, 2, ""));
+  CHECK(bench.host.until([&] { return bench.core.open_requests() == 1; }));
+  CHECK(bench.host.run([&] { return bench.withdrawn.size(); }) == 1);
+  CHECK(bench.host.run([&] { return bench.withdrawn.at(0) == bench.orders.at(1).key; }));
+  client.send(frames::make_frame(frames::kAbandon, 1, ""));
+  const Rest rest = read_to_end(client.fd());
+  CHECK(rest.fault == 0);
+  CHECK(codes_of(rest.bytes) == std::map<std::uint32_t, int>{{0, frames::kFailed}});
+}
+
+TEST_CASE("frames: the end of a client is noticed where its frames can't be told apart") {
+  FrontBench bench;
+  Peer client = bench.client();
+  client.send(bench.request(1));
+  REQUIRE(bench.sent(1));
+  client.send(std::string(4, '\xff') + std::string(100'000, 'x'));
+  REQUIRE(client.has(1));
+  client.close();
+  CHECK(bench.host.until([&] { return bench.core.open_requests() == 0; }));
+  CHECK(bench.host.run([&] { return bench.withdrawn.size(); }) == 1);
+}
+
+TEST_CASE("frames: an idle connection ends in order, and not over a request that lies unread") {
+  FramesFront::Limits limits;
+  limits.idle = 100ms;
+  FrontBench bench(limits);
+  Peer client = bench.client();
+  client.send(bench.request(1));
+  REQUIRE(bench.sent(1));
+  bench.serve(0, "one");
+  REQUIRE(client.has(1));
+  // The loop stands still over the time at which the connection is idle, and the request comes meanwhile.
+  bench.host.run([&] {
+    std::this_thread::sleep_for(150ms);
+    bench.host.loop.at(bench.host.loop.now() + 1ms, [&] { client.send(bench.request(2)); });
+  });
+  REQUIRE(bench.sent(2));
+  bench.serve(1, "two");
+  const Rest rest = read_to_end(client.fd());
+  CHECK(rest.fault == 0);
+  CHECK(codes_of(client.buffer() + rest.bytes) ==
+        std::map<std::uint32_t, int>{{1, frames::kServed}, {2, frames::kServed}});
+  // Behind our end nothing is sent on, and nothing is reset.
+  client.send(bench.request(3));
+  CHECK(bench.host.run([&] { return bench.orders.size(); }) == 2);
+}
+
+TEST_CASE("frames: who gives way to others is served first, and ends in order") {
+  // Guards against a reset over an answer just written, and against more connections than there may be.
+  FramesFront::Limits limits;
+  limits.most_connections = 8;
+  FrontBench bench(limits);
+  std::vector<Peer> clients;
+  for (int i = 0; i < 7; ++i) {
+    clients.push_back(bench.client());
+    clients.back().send(bench.request(1));
+    REQUIRE(bench.sent(clients.size()));
+    bench.serve(clients.size() - 1, "one");
+    REQUIRE(clients.back().has(1));
+  }
+  std::this_thread::sleep_for(30ms);  // nobody is pushed out before what came with it could be read
+  std::vector<Peer> late;
+  bench.host.run([&] {
+    for (int i = 0; i < 2; ++i) late.push_back(bench.client());
+    clients[0].send(bench.request(2));  // comes in the turn in which others come
+  });
+  REQUIRE(bench.sent(8));
+  bench.serve(7, "two");
+  for (Peer& one : late) one.send(bench.request(1));
+  REQUIRE(bench.sent(10));
+  REQUIRE(clients[0].more());
+  const Rest first = read_to_end(clients[1].fd());
+  CHECK(first.fault == 0);
+  CHECK(codes_of(clients[1].buffer() + first.bytes) == std::map<std::uint32_t, int>{{1, frames::kServed}});
+  bench.serve(8, "late"), bench.serve(9, "late");
+  for (Peer& one : late) CHECK(one.has(1));
+}
+
+TEST_CASE("mysql: an idle connection ends in order, and so does one that says goodbye") {
+  FrontBench bench;
+  Peer client = bench.mysql_client();
+  client.send(FrontBench::query("SELECT 1"));
+  REQUIRE(bench.sent(1));
+  std::uint8_t sequence = 1;
+  const std::string answer = mysql::packets(mysql::ok_payload(0, 0, mysql::kAutocommit), sequence);
+  bench.serve(0, answer);
+  sequence = 0;
+  client.send(mysql::packets("\x01", sequence) + std::string(100'000, 'x'));
+  const Rest rest = read_to_end(client.fd());
+  CHECK(rest.fault == 0);
+  CHECK(rest.bytes == answer);
+}
+
+TEST_CASE("net: small writes leave at once on every TCP socket") {
+  const Fd listener = listen_anywhere();
+  const Fd dialled = connect_tcp({0x7f000001, local_port(listener)});
+  REQUIRE(readable(listener, kPatience));
+  const Fd accepted = accept_from(listener);
+  for (const Fd* fd : {&dialled, &accepted}) {
+    int on = 0;
+    socklen_t size = sizeof on;
+    REQUIRE(::getsockopt(fd->get(), IPPROTO_TCP, TCP_NODELAY, &on, &size) == 0);
+    CHECK(on == 1);
+  }
+}
+
+namespace {
+
+// Bytes that the program holds of its heap, in both kinds of blocks. A sanitizer's heap does not tell.
+std::size_t held_bytes() {
+#ifdef __SANITIZE_ADDRESS__
+  return 0;
+#endif
+  const struct mallinfo2 info = ::mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+}  // namespace
+
+TEST_CASE("frames: a flood behind a broken frame is bounded while it comes, and gone with its clients") {
+  // Guards against a buffer for each such connection: they stay as long as something is open on them. Of
+  // large frames that have begun there are most_unfinished bytes, in good connections and broken ones.
+  FramesFront::Limits limits;
+  limits.most_unfinished = 1u << 20;
+  FrontBench bench(limits);
+  std::vector<Peer> crowd;
+  const std::string large = frames::make_frame(frames::kRequest, 9, std::string(260'000, 'x'));
+  const std::size_t before = held_bytes();
+  for (std::uint32_t i = 0; i < 30; ++i) {
+    crowd.push_back(bench.client());
+    crowd.back().send(bench.request(1) + frames::make_frame(77, 3, ""));
+    REQUIRE(crowd.back().has(1));  // it was told of the broken frame
+    crowd.back().send(std::string_view(large).substr(0, large.size() - 1));
+  }
+  // Others are served meanwhile. In each turn that this takes, 64 kB of each flood are read.
+  Peer good = bench.client();
+  for (int turn = 0; turn < 10; ++turn) {
+    good.send(frames::make_frame(frames::kIsReady, 1, std::string(1, '\0')));
+    REQUIRE(good.has(1));
+    good.buffer().clear();
+  }
+  CHECK(bench.host.run([&] { return bench.core.open_requests(); }) == 30);
+  CHECK(held_bytes() - before < (4u << 20));  // 7.8 MB were sent
+  crowd.clear();
+  CHECK(bench.host.until([&] { return bench.core.open_requests() == 0; }));
+}
+
+TEST_CASE("mysql: large commands that have begun share a budget, and little comes before a log-in") {
+  FrontBench bench;
+  bench.host.run([&] { bench.mysql->resize(100, 1u << 20, 1u << 20); });
+  const auto begin = [](std::size_t length, std::uint8_t sequence) {
+    std::string head;
+    mysql::put_number(head, length, 3);
+    return head + static_cast<char>(sequence);
+  };
+  const auto error_of = [](Peer& peer) {
+    const auto message = take_mysql(peer);
+    return message && message->payload.starts_with('\xff') ? mysql::read_error(message->payload).code : 0;
+  };
+  Peer stranger = Peer::connect(bench.mysql->port());
+  REQUIRE(take_mysql(stranger));
+  stranger.send(begin(100'000, 1));
+  CHECK(error_of(stranger) == mysql::kPacketTooLarge);
+  Peer first = bench.mysql_client(), second = bench.mysql_client(), third = bench.mysql_client();
+  first.send(begin(900'000, 0));
+  CHECK(bench.host.until([&] { return bench.mysql->is_receiving_large(); }));
+  second.send(begin(900'000, 0));
+  CHECK(error_of(second) == mysql::kOutOfResources);
+  third.send(FrontBench::query("SELECT 1"));  // small ones pass
+  REQUIRE(bench.sent(1));
+  first.close();
+  CHECK(bench.host.until([&] { return !bench.mysql->is_receiving_large(); }));
+  third.close();
+  Peer fourth = bench.mysql_client();
+  fourth.send(FrontBench::query("SELECT '" + std::string(900'000, 'x') + "'"));
+  CHECK(bench.sent(2));
+}
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -765,6 +765,10 @@
     if (line_engines_.contains(name)) return expect_engine(line_engines_.at(name), what);
     Client& client = clients_.at(name);
     if (what == "closed") return require(client.peer.at_end(), "still open");
+    if (what == "end") {
+      require(client.peer.at_end(), "still open");
+      return require(client.peer.buffer().empty(), "something came before its end");
+    }
     if (what == "nothing") {
       const bool quiet =
           client.peer.buffer().empty() && !client.peer.more(std::chrono::milliseconds(std::stoi(word())));
