Shut down by a decision of its own, and take signals from the first line on

Cause: main.cpp blocked SIGTERM, SIGINT and SIGHUP only once App stood (Signals behind App's constructor), so each of them killed a process that still read its configuration or keys. App::become_ready took no notice of a drain: 0.5 s after the start it opened the door and said 'ready', also to a former process by its lock. App::stop_when_idle waited without bound for answers that a client does not take, for SIGKILL to end everybody.

Change: block_signals is main's first act; readiness is first looked for in the loop's first turn, behind a signal that has waited, and never after a drain. What a process does next after SIGTERM stands in src/decide/shutdown (table in its header), times by the settings' longest deadline: before it ends, one turn that waits for nothing must have found nothing, so that no backlog falls between the last read and the exit. A successor that dies gives the door back.

Tests (tests/dispatch/stop.cpp): the decision by a table; signals before the configuration is read (held in a pipe), while the directory holds its answer, to a successor that is not ready, with SIGHUP in one turn and after, with a broken file, twice.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -23,9 +23,6 @@
 
 constexpr std::size_t kMostResult = 8u << 20;  // bytes of one result from an engine that speaks MySQL
 
-// After SIGTERM new connections come for 0.4 s and requests on open ones for 0.2 s: with room to spare.
-constexpr Duration kStragglers = std::chrono::milliseconds(1000);
-
 PoolLimits pool_limits(const Config& config) {
   PoolLimits limits;
   limits.most_connections = engine_share(config.sockets);
@@ -89,8 +86,7 @@
 // A starting process waits so long for the directory; what it was told at its start has to do then.
 constexpr Duration kDirectoryWait = std::chrono::milliseconds(500);
 constexpr Duration kLookForSiblings = std::chrono::milliseconds(100);
-// A request is written in 2 s at most: no longer is one waited for that is on its way in.
-constexpr Duration kPiecesEnd = std::chrono::milliseconds(2600);
+constexpr Duration kLookAtShutdown = std::chrono::milliseconds(20);
 
 std::string siblings_file(const Config& config) {
   std::string name = config.name;
@@ -182,7 +178,8 @@
   if (config.fleet) fleet_ = std::make_unique<Fleet>(loop, log, fleet_settings(config), config.seed);
   resize();
   if (siblings_) share_with_siblings();
-  become_ready(loop.now() + kDirectoryWait);
+  // From the loop: a signal to end that has waited for it comes first.
+  loop.at(loop.now(), [this, until = loop.now() + kDirectoryWait] { become_ready(until); });
   loop.each_turn([this] { core_.settle(); });
   loop.on_long_turn(kLongTurn, [this](Duration took) {
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(took).count();
@@ -193,7 +190,9 @@
 std::string App::why_not_ready() const { return draining_ ? "draining" : ready_ ? "" : "starting"; }
 
 // Nothing is accepted until the directory has been heard: what waits at the socket is not lost meanwhile.
+// Told to end before that, it never opens: clients would come to a process that is about to leave.
 void App::become_ready(Time at_the_latest) {
+  if (draining_) return;
   if (directory_ && !directory_->has_answered() && loop_.now() < at_the_latest) {
     loop_.at(loop_.now() + std::chrono::milliseconds(5),
              [this, at_the_latest] { become_ready(at_the_latest); });
@@ -202,7 +201,7 @@
   ready_ = true;
   if (frames_) frames_->accept_clients(true);
   if (mysql_) mysql_->accept_clients(true);
-  if (siblings_ && !draining_) siblings_->say_ready(true);
+  if (siblings_) siblings_->say_ready(true);
   log_.line(Level::kNotice, "start", "ready to serve", {});
 }
 
@@ -333,24 +332,40 @@
   if (frames_) frames_->drain();
   if (mysql_ && !config_.mysql->passed_socket) mysql_->drain();
   drained_at_ = loop_.now();
-  stop_from_ = drained_at_ + kStragglers;
-  stop_when_idle();
+  Duration longest{};
+  for (const auto& cls : config_.settings.classes)
+    longest = std::max(longest, span_from_module(cls.deadline));
+  shutdown_times_ = decide::shutdown_times(longest);
+  shut_down();
 }
 
-void App::stop_when_idle() {
-  // A successor that is ready takes what waits at the socket; without one we serve it still.
-  if (siblings_ && siblings_->another_is_ready()) {
-    if (frames_) frames_->accept_clients(false);
-    if (mysql_) mysql_->leave();
-  }
-  const bool receiving = frames_ && loop_.now() - drained_at_ < kPiecesEnd && frames_->is_receiving();
-  const bool idle = !receiving && core_.open_requests() == 0 && (!frames_ || frames_->is_flushed()) &&
-                    (!mysql_ || mysql_->is_flushed());
-  if (idle && loop_.now() >= stop_from_) {
+bool App::is_taking_in() const {
+  return (frames_ && (frames_->is_receiving() || !frames_->is_flushed())) ||
+         (mysql_ && !mysql_->is_flushed());
+}
+
+void App::shut_down() {
+  decide::ShutdownState state;
+  state.since = loop_.now() - drained_at_;
+  state.opened = ready_;
+  state.door_is_shared = config_.passed_socket.has_value() || (config_.mysql && config_.mysql->passed_socket);
+  state.successor_ready = siblings_ && siblings_->another_is_ready();
+  state.ending = ending_;
+  state.taking_in = !ending_ && is_taking_in();
+  state.seen_all = std::exchange(looks_, false) && loop_.is_quiet();
+  state.open_requests = core_.open_requests();
+  const decide::ShutdownOrder order = decide::next_shutdown_step(shutdown_times_, state);
+  if (order.step == decide::ShutdownStep::kExit) {
     log_.line(Level::kNotice, "stop", "idle, so done", {});
     return loop_.stop();
   }
-  loop_.at(loop_.now() + std::chrono::milliseconds(20), [this] { stop_when_idle(); });
+  if (frames_) frames_->accept_clients(order.let_in);
+  if (mysql_ && state.successor_ready) mysql_->leave();
+  if (order.step == decide::ShutdownStep::kEndClients) ending_ = true;
+  looks_ = order.step == decide::ShutdownStep::kLook;
+  const Duration pause =
+      looks_ || order.step == decide::ShutdownStep::kEndClients ? Duration(0) : kLookAtShutdown;
+  loop_.at(loop_.now() + pause, [this] { shut_down(); });
 }
 
 }  // namespace rookproxy
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -7,6 +7,7 @@
 #include "app/siblings.h"
 #include "config/config.h"
 #include "core/dispatcher.h"
+#include "decide/shutdown.h"
 #include "directory/directory.h"
 #include "fleet/fleet.h"
 #include "front/frames.h"
@@ -29,7 +30,8 @@
   // Requests and the list's serial go on. If `load` throws, the former configuration stays as a whole: a bad
   // file must not end what serves.
   void reload(const std::function<Config(const Config& running)>& load);
-  // Not ready any more; what still comes is served, and the loop stops once nothing is open.
+  // Not ready any more; what still comes is served, clients are ended in order, and the loop stops once
+  // nothing is open (decide/shutdown.h). Asked again, it changes nothing.
   void drain();
 
  private:
@@ -43,7 +45,8 @@
   std::unique_ptr<FileWatch> watch_files(const Config& config);
   void take_credentials(const Config& config);
   void find_engines(const Config& config);
-  void stop_when_idle();
+  void shut_down();
+  bool is_taking_in() const;
   void become_ready(Time at_the_latest);
   void share_with_siblings();
   void resize();
@@ -63,8 +66,11 @@
   std::unique_ptr<MysqlFront> mysql_;
   std::unique_ptr<OpsServer> ops_;
   std::optional<Siblings> siblings_;  // where the clients' socket was passed: without, there can be none
-  Time stop_from_{}, drained_at_{};
+  Time drained_at_{};
+  decide::ShutdownTimes shutdown_times_;  // by the classes' deadlines as they were then
   bool ready_ = false, draining_ = false, shared_ = false;
+  bool looks_ = false;   // the turn that follows waits for nothing, to see what there is
+  bool ending_ = false;  // clients are being ended
 };
 
 }  // namespace rookproxy
--- /dev/null
+++ b/src/decide/shutdown.h
@@ -0,0 +1,62 @@
+// What a process does next once it was told to end, from the time since then, what is open, and whether
+// another process has its door.
+//
+//   since SIGTERM                   what holds then                   what it does
+//   until it ends its clients       a successor is ready              leaves newcomers to it, serves who is
+//   there
+//                                   it never opened                   lets nobody in
+//                                   neither                           serves all, newcomers too
+//   any, never opened               the door is another's as well     exits: who waits there is not ours
+//   newcomers_until, never opened   the door is its own               looks, and ends those who waited there
+//   serve_until, having opened      a request is on its way in, or    serves on, until take_in_until at the
+//   latest
+//                                   answers are not taken
+//   then                            not all that waits was seen       looks once more, and takes it
+//                                   else                              ends its clients
+//   clients are being ended         a connection or a request is      waits
+//                                   open
+//                                   neither                           exits
+//   end_by                          no request is open                exits, whoever has not taken his end
+//                                   requests are open                 waits: they have a deadline each
+//
+// Requests that came in time are never given up for the sake of an early exit. What SIGKILL finds unanswered
+// of them is nobody's loss, and without one they are served.
+#pragma once
+
+#include <cstddef>
+
+#include "base/time.h"
+
+namespace rookproxy::decide {
+
+// Since SIGTERM.
+struct ShutdownTimes {
+  Duration newcomers_until{}, serve_until{}, take_in_until{}, end_by{};
+};
+// `longest_deadline`: of all classes. SIGKILL comes no earlier than that (3 s at most) and 0.7 s after
+// SIGTERM.
+ShutdownTimes shutdown_times(Duration longest_deadline);
+
+struct ShutdownState {
+  Duration since{};
+  bool opened = true;             // it was ready to serve before it was told to end
+  bool door_is_shared = false;    // the clients' socket was passed: it outlives this process
+  bool successor_ready = false;   // another process accepts there
+  bool ending = false;            // clients are being ended
+  bool taking_in = false;         // a request is on its way in, or answers are not taken yet
+  bool seen_all = false;          // a turn of the loop that waited for nothing found nothing
+  bool has_connections = false;   // of clients
+  std::size_t open_requests = 0;  // also those whose clients have gone
+};
+
+enum class ShutdownStep { kGoOn, kLook, kEndClients, kExit };
+struct ShutdownOrder {
+  ShutdownStep step = ShutdownStep::kGoOn;
+  bool let_in = false;  // who waits at the door
+  auto operator<=>(const ShutdownOrder&) const = default;
+};
+
+// Once kEndClients was carried out, `ending` holds.
+ShutdownOrder next_shutdown_step(const ShutdownTimes& times, const ShutdownState& state);
+
+}  // namespace rookproxy::decide
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr auto kSignals = {SIGTERM, SIGINT, SIGHUP};
 constexpr const char* kAbout =
     "Runs one dispatcher in the foreground until SIGTERM. SIGHUP makes it read its configuration again.";
 constexpr const char* kFooter =
@@ -24,6 +25,7 @@
 
 int main(int argc, char** argv) {
   using namespace rookproxy;
+  block_signals(kSignals);  // before anything else: until the loop runs they wait
   return run_program(
       argc, argv, "rookproxy", kAbout, kFooter, false, [](const ProgramOptions& options, Log& log) {
         const Config config = load_config(read_environment(), options.file);
@@ -42,8 +44,7 @@
           app.reload(
               [&](const Config& running) { return load_config(read_environment(), options.file, running); });
         };
-        Signals signals(loop, {SIGTERM, SIGINT, SIGHUP},
-                        [&](int signal) { signal == SIGHUP ? reread() : app.drain(); });
+        Signals signals(loop, kSignals, [&](int signal) { signal == SIGHUP ? reread() : app.drain(); });
         // Where callers are identified, rights that were taken back must not wait for a signal.
         std::unique_ptr<FileWatch> watch;
         if (config.access) {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -48,6 +48,8 @@
   }
 
   Time now() const { return now_; }
+  // Nothing was ready in this turn.
+  bool is_quiet() const { return quiet_; }
   void run();
   void stop() { stopped_ = true; }
 
@@ -66,7 +68,7 @@
   Duration long_turn_ = Duration::max();
   std::function<void(Duration)> told_;
   Time now_;
-  bool stopped_ = false;
+  bool stopped_ = false, quiet_ = false;
 };
 
 }  // namespace rookproxy
--- a/src/net/signals.cpp
+++ b/src/net/signals.cpp
@@ -9,13 +9,25 @@
 
 namespace rookproxy {
 
-Signals::Signals(Loop& loop, std::initializer_list<int> signals, std::function<void(int)> taken)
-    : loop_(loop), taken_(std::move(taken)) {
-  std::signal(SIGPIPE, SIG_IGN);
+namespace {
+sigset_t set_of(std::initializer_list<int> signals) {
   sigset_t set;
   sigemptyset(&set);
   for (const int one : signals) sigaddset(&set, one);
+  return set;
+}
+}  // namespace
+
+void block_signals(std::initializer_list<int> signals) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const sigset_t set = set_of(signals);
   ::sigprocmask(SIG_BLOCK, &set, nullptr);
+}
+
+Signals::Signals(Loop& loop, std::initializer_list<int> signals, std::function<void(int)> taken)
+    : loop_(loop), taken_(std::move(taken)) {
+  block_signals(signals);
+  const sigset_t set = set_of(signals);
   fd_ = Fd(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
   if (fd_) key_ = loop_.watch(fd_.get(), *this);
   if (key_ == 0) throw std::system_error(errno, std::generic_category(), "signalfd");
--- a/src/net/signals.h
+++ b/src/net/signals.h
@@ -8,9 +8,13 @@
 
 namespace rookproxy {
 
+// From here on these signals wait until somebody takes them, and SIGPIPE is ignored. A program's first act:
+// one that comes while it starts must neither kill it nor be lost.
+void block_signals(std::initializer_list<int> signals);
+
 class Signals final : private Watcher {
  public:
-  // Blocks these signals for the process and hands them to `taken` from the loop. SIGPIPE is ignored.
+  // Blocks these signals and hands them to `taken` from the loop, also those that have waited.
   Signals(Loop& loop, std::initializer_list<int> signals, std::function<void(int)> taken);
   ~Signals();
 
--- a/src/standins/standins.cpp
+++ b/src/standins/standins.cpp
@@ -71,6 +71,7 @@
   char bytes[64 * 1024];
   const ssize_t got = ::recv(fd_.get(), bytes, sizeof bytes, 0);
   if (got <= 0) ended_ = true;
+  if (got < 0) reset_ = true;
   if (got > 0) buffer_.append(bytes, static_cast<std::size_t>(got));
   return got > 0;
 }
--- a/src/standins/standins.h
+++ b/src/standins/standins.h
@@ -36,6 +36,7 @@
   bool more(std::chrono::milliseconds within = kPatience);
   bool has(std::size_t bytes, std::chrono::milliseconds within = kPatience);
   bool ended() const { return ended_; }
+  bool was_reset() const { return reset_; }
   bool at_end(std::chrono::milliseconds within = kPatience);
   std::string take(std::size_t bytes);
   std::string& buffer() { return buffer_; }
@@ -46,7 +47,7 @@
   Fd fd_;
   std::unique_ptr<TlsPeer> tls_;
   std::string buffer_;
-  bool ended_ = false;
+  bool ended_ = false, reset_ = false;
 };
 
 std::string new_folder();
--- a/tests/dispatch/scenario.cpp
+++ b/tests/dispatch/scenario.cpp
@@ -57,6 +57,8 @@
   std::vector<Peer> peers;
   std::size_t last = 0;  // the peer that the last command came from
   std::string id;        // of the last REQ
+  int requests = 0;      // that came
+  std::string unsent;    // of an answer that was begun
   std::vector<Fd> filling;
 
   // Its queue takes no connection any more: the kernel drops what comes, as a machine that is cut off does.
@@ -87,6 +89,7 @@
           line += "\n" + peers[i].buffer().substr(used, body);
           used += body + 2;
           id = line.substr(4, line.find(' ', 4) - 4);
+          ++requests;
         }
         peers[i].take(used);
         last = i;
@@ -228,8 +231,9 @@
       std::string name = word();
       Process& to = name == "old" ? old_ : process_;
       if (name == "old") name = word();
-      static const std::map<std::string, int> numbers{
-          {"HUP", SIGHUP}, {"KILL", SIGKILL}, {"TERM", SIGTERM}, {"STOP", SIGSTOP}, {"CONT", SIGCONT}};
+      static const std::map<std::string, int> numbers{{"HUP", SIGHUP},   {"INT", SIGINT},
+                                                      {"KILL", SIGKILL}, {"TERM", SIGTERM},
+                                                      {"STOP", SIGSTOP}, {"CONT", SIGCONT}};
       return to.signal(numbers.at(name));
     }
     fail("unknown step");
@@ -546,10 +550,16 @@
     if (line_engines_.contains(name)) {
       LineEngine& engine = line_engines_.at(name);
       if (what == "raw") return engine.peers.at(engine.last).send(rest());
-      const std::string fields = word(), body = rest();
-      return engine.peers.at(engine.last)
-          .send(engine.id + " " + what + " " + fields + " " + std::to_string(body.size()) + "\r\n" + body +
-                "\r\n");
+      if (what == "finish") return engine.peers.at(engine.last).send(std::exchange(engine.unsent, ""));
+      const bool half = what == "begin";
+      const std::string kind = half ? word() : what, fields = word(), body = rest();
+      std::string answer =
+          engine.id + " " + kind + " " + fields + " " + std::to_string(body.size()) + "\r\n" + body + "\r\n";
+      if (half) {
+        engine.unsent = answer.substr(answer.size() / 2);
+        answer.resize(answer.size() / 2);
+      }
+      return engine.peers.at(engine.last).send(answer);
     }
     Client& client = clients_.at(name);
     client.mysql ? send_mysql(client, what) : send_frame(client, what);
@@ -654,7 +664,20 @@
     return frame;
   }
 
+  // That frame, whatever comes before it, which is kept.
+  void expect_go_away_among(Client& client) {
+    std::string others, kept;
+    for (;;) {
+      const auto frame = next_frame(client, kept);
+      require(frame.has_value(), "it never came");
+      if (frame->type == frames::kGoAway) break;
+      others += kept;
+    }
+    client.peer.buffer().insert(0, others);
+  }
+
   void expect_frame(Client& client, const std::string& what) {
+    if (what == "goaway" && word() == "among") return expect_go_away_among(client);
     std::string kept;
     const auto frame = next_frame(client, kept);
     require(frame.has_value(), "nothing came");
@@ -667,7 +690,7 @@
     require(frame->type == frames::kAnswer, "not an answer but type " + std::to_string(frame->type));
     if (what == "error") return require(frame->stream == 0, "an error on a stream");
     const bool refused = what == "refused" || what == "denied" || what == "pushback";
-    const int code = what == "served" ? 0 : refused ? 1 : 2;
+    const int code = what == "final" ? frame->payload[0] : what == "served" ? 0 : refused ? 1 : 2;
     std::string_view body = frame->payload.substr(1);
     frames::Fields fields;
     require(frames::parse_fields(body, fields), "unreadable fields");
@@ -765,6 +788,11 @@
     if (line_engines_.contains(name)) return expect_engine(line_engines_.at(name), what);
     Client& client = clients_.at(name);
     if (what == "closed") return require(client.peer.at_end(), "still open");
+    if (what == "eof") {
+      require(client.peer.at_end(), "still open");
+      require(!client.peer.was_reset(), "reset");
+      return require(client.peer.buffer().empty(), "something came before the end");
+    }
     if (what == "nothing") {
       const bool quiet =
           client.peer.buffer().empty() && !client.peer.more(std::chrono::milliseconds(std::stoi(word())));
@@ -781,6 +809,11 @@
       return require(engine.peers.empty() || !engine.peers.at(engine.last).ended(), "its connection ended");
     }
     if (what == "closed") return require(engine.peers.at(engine.last).at_end(), "still open");
+    if (what == "requests") {
+      while (engine.next(20ms)) {
+      }
+      return require(engine.requests == std::stoi(word()), std::to_string(engine.requests) + " came");
+    }
     const auto command = engine.next(kPatience);
     require(command.has_value(), "nothing came");
     const std::string text = rest();
--- a/tests/dispatch/scenario.h
+++ b/tests/dispatch/scenario.h
@@ -9,7 +9,7 @@
 //   confine                         before start: under what the platform refuses (confine.h)
 //   start                           the dispatcher; waits until it serves
 //   configure [TEXT]                writes the configuration anew, as it stands or as that text
-//   signal TERM|HUP|KILL|STOP|CONT  to the dispatcher
+//   signal TERM|INT|HUP|KILL|STOP|CONT   to the dispatcher
 //   pass sockets                    before start: the scenario holds the fronts' sockets, processes inherit them
 //   upgrade                         a second process beside the first, which is 'old' from now on
 //   signal old TERM|KILL | call old TEXT
@@ -25,12 +25,17 @@
 //   crowd N                          N clients that connect and say nothing
 //   send C abandon STREAM | send C ready STREAM | send C hex BYTES
 //   expect C served|refused|failed STREAM [TEXT] | expect C ready CODE | expect C goaway | expect C error
+//   expect C goaway among           behind other frames or before them; they are kept
+//   expect C final STREAM           any of the three
+//   expect C eof                    an orderly end, no reset, and nothing unread before it
 //   expect C pushback STREAM MS     refused, and to stay away for so long
 //   expect A REQ TEXT               the engine's next command, its fields and body in part; also FETCH, END, STOP
 //   fill A | let A                  A's queue of connections is full: the kernel drops tries to connect; no more so
 //   absorb A MS                     takes the engine's commands until none has come for so long
 //   repeat N STEP                   that step so often
 //   send A WORD FIELDS [TEXT]       an answer to the engine's last REQ
+//   send A begin WORD FIELDS [TEXT] | send A finish          its first half, the rest of it
+//   expect A requests N             so many REQ have come in all
 //   send A raw BYTES                on the connection of the engine's last command
 //   send C query TEXT | send C prepare TEXT | send C command HEX
 //   send C execute N [VALUE] | send C again N [VALUE] (types not bound) | send C long N PARAMETER TEXT
--- /dev/null
+++ b/tests/dispatch/stop.cpp
@@ -0,0 +1,273 @@
+// How the program ends: the decision by a table, then the real program, with signals at every moment.
+#include <signal.h>
+#include <sys/stat.h>
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+
+#include "decide/shutdown.h"
+#include "directory/dns.h"
+#include "process.h"
+#include "scenario.h"
+
+using namespace rookproxy;
+using namespace rookproxy::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+using decide::shutdown_times;
+using decide::ShutdownOrder;
+using decide::ShutdownState;
+using decide::ShutdownStep;
+
+TEST_CASE("shutdown: each time lies before the earliest SIGKILL, for every longest deadline") {
+  for (const Duration longest : {0ms, 100ms, 300ms, 500ms, 1000ms, 1500ms, 2900ms, 3000ms, 25'000ms}) {
+    const auto times = shutdown_times(longest);
+    const Duration kill = std::min<Duration>(longest, 3s) + 700ms;
+    CAPTURE(longest.count());
+    // What the protocol says still comes: new connections for 0.4 s, requests on open ones 0.2 s more.
+    CHECK(times.newcomers_until >= 400ms);
+    CHECK(times.newcomers_until < kill);
+    CHECK(times.serve_until >= 600ms);
+    CHECK(times.take_in_until >= times.serve_until);
+    CHECK(times.end_by >= times.take_in_until);
+    CHECK(times.end_by <= kill - 50ms);
+    if (longest >= 300ms) CHECK(times.end_by - times.take_in_until >= 200ms);
+    if (longest >= 2500ms) CHECK(times.take_in_until == 2600ms);  // a request that is written in 2 s
+  }
+}
+
+struct Case {
+  const char* what;
+  ShutdownState state;
+  ShutdownOrder order;
+};
+
+TEST_CASE("shutdown: what is done next, by what holds") {
+  constexpr auto kGoOn = ShutdownStep::kGoOn, kLook = ShutdownStep::kLook,
+                 kEndClients = ShutdownStep::kEndClients, kExit = ShutdownStep::kExit;
+  const auto times = shutdown_times(3s);
+  const Case cases[] = {
+      {"at once, nothing open", {.since = 0ms}, {kGoOn, true}},
+      {"at once, requests open", {.since = 0ms, .open_requests = 3}, {kGoOn, true}},
+      {"a successor has the door", {.since = 0ms, .successor_ready = true}, {kGoOn, false}},
+      {"stragglers", {.since = 999ms, .has_connections = true}, {kGoOn, true}},
+      {"stragglers are over", {.since = 1000ms, .has_connections = true}, {kLook, true}},
+      {"stragglers are over, requests open", {.since = 1000ms, .open_requests = 1}, {kLook, true}},
+      {"all was seen", {.since = 1000ms, .seen_all = true, .has_connections = true}, {kEndClients, true}},
+      {"all was seen, requests open",
+       {.since = 1s, .seen_all = true, .open_requests = 1},
+       {kEndClients, true}},
+      {"seen too early", {.since = 999ms, .seen_all = true}, {kGoOn, true}},
+      {"events never cease", {.since = 2700ms, .has_connections = true}, {kEndClients, true}},
+      {"a request on its way in", {.since = 1000ms, .taking_in = true, .seen_all = true}, {kGoOn, true}},
+      {"for too long", {.since = 2600ms, .taking_in = true, .seen_all = true}, {kEndClients, true}},
+      {"the successor's backlog", {.since = 1s, .successor_ready = true}, {kLook, false}},
+      {"then", {.since = 1s, .successor_ready = true, .seen_all = true}, {kEndClients, false}},
+      {"ending, a connection open",
+       {.since = 1100ms, .ending = true, .has_connections = true},
+       {kGoOn, false}},
+      {"ending, a request open", {.since = 1100ms, .ending = true, .open_requests = 1}, {kGoOn, false}},
+      {"ended", {.since = 1100ms, .ending = true}, {kExit, false}},
+      {"late, a client stays", {.since = 3550ms, .ending = true, .has_connections = true}, {kExit, false}},
+      {"late, a request open",
+       {.since = 20s, .ending = true, .has_connections = true, .open_requests = 1},
+       {kGoOn, false}},
+      {"never opened", {.since = 0ms, .opened = false}, {kGoOn, false}},
+      {"never opened, newcomers over", {.since = 500ms, .opened = false}, {kLook, true}},
+      {"never opened, who waited was seen",
+       {.since = 510ms, .opened = false, .seen_all = true},
+       {kEndClients, true}},
+      {"never opened, another's door",
+       {.since = 0ms, .opened = false, .door_is_shared = true},
+       {kExit, false}},
+      {"opened, another's door", {.since = 0ms, .door_is_shared = true}, {kGoOn, true}},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.what);
+    const auto order = decide::next_shutdown_step(times, one.state);
+    CHECK(order.step == one.order.step);
+    CHECK(order.let_in == one.order.let_in);
+  }
+}
+
+// ---- signals in any order, to the real program
+
+// A dispatcher that has read nothing yet: its configuration is a pipe that the test holds.
+class HeldStart {
+ public:
+  HeldStart() : HeldStart(new_folder()) { owns_ = true; }
+  explicit HeldStart(const std::string& folder) : folder_(folder), file_(folder + "/config.json") {
+    ::signal(SIGPIPE, SIG_IGN);  // a dispatcher that dies leaves the pipe without a reader
+  }
+  ~HeldStart() {
+    if (owns_) std::filesystem::remove_all(folder_);
+  }
+  Process& process() { return process_; }
+  const std::string& folder() const { return folder_; }
+  void start(const std::vector<Fd>& passed = {}) {
+    std::filesystem::remove(file_);
+    require(::mkfifo(file_.c_str(), 0600) == 0, "no pipe");
+    process_.start(folder_, folder_ + "/held.log", passed);
+    // Comes back once the dispatcher has opened it to read: it is past its first lines, and waits.
+    pipe_ = Fd(::open(file_.c_str(), O_WRONLY | O_CLOEXEC));
+    require(static_cast<bool>(pipe_), "the pipe was not opened");
+  }
+  void go_on(const nlohmann::json& config) {
+    const std::string text = config.dump();
+    std::ofstream(file_ + ".new") << text;  // for whoever reads it again
+    std::filesystem::rename(file_ + ".new", file_);
+    require(::write(pipe_.get(), text.data(), text.size()) == static_cast<ssize_t>(text.size()),
+            "not written");
+    pipe_.reset();
+  }
+
+ private:
+  std::string folder_, file_;
+  bool owns_ = false;
+  Process process_;
+  Fd pipe_;
+};
+
+nlohmann::json config_with(const DirectoryStandIn* directory) {
+  nlohmann::json config = base_config();
+  if (directory) {
+    config["nameserver"] = "127.0.0.1:" + std::to_string(directory->port());
+  } else {
+    config["engines"] = nlohmann::json::array(
+        {{{"id", "e"}, {"host_port", "127.0.0.1:9"}, {"locality", "z"}, {"flavor", "m"}}});
+  }
+  return config;
+}
+
+void never_became_ready(const Process& process) {
+  const std::string log = process.log();
+  INFO(log);
+  CHECK(log.find("draining") != std::string::npos);
+  CHECK(log.find("ready to serve") == std::string::npos);
+  CHECK(log.find("idle, so done") != std::string::npos);
+}
+
+}  // namespace
+
+TEST_CASE("SIGTERM, SIGINT and SIGHUP before the configuration is read: ended in order, never ready") {
+  // Guards against signals that find no handler yet, and against a door that opens for a process about to
+  // leave.
+  struct Row {
+    std::vector<int> signals;
+    bool directory;
+  };
+  const Row rows[] = {{{SIGTERM}, true},          {{SIGTERM}, false},
+                      {{SIGINT}, true},           {{SIGHUP, SIGTERM}, true},
+                      {{SIGTERM, SIGHUP}, false}, {{SIGTERM, SIGTERM, SIGINT}, true}};
+  for (const Row& row : rows) {
+    CAPTURE(row.signals, row.directory);
+    DirectoryStandIn directory;
+    HeldStart held;
+    held.start();
+    for (const int signal : row.signals) held.process().signal(signal);
+    held.go_on(config_with(row.directory ? &directory : nullptr));
+    CHECK(held.process().exit_code() == 0);
+    never_became_ready(held.process());
+  }
+}
+
+TEST_CASE("SIGHUP before the configuration is read: it starts all the same") {
+  HeldStart held;
+  held.start();
+  held.process().signal(SIGHUP);
+  held.go_on(config_with(nullptr));
+  held.process().wait_for("reread");
+  held.process().wait_for("ready to serve");
+  held.process().signal(SIGTERM);
+  CHECK(held.process().exit_code() == 0);
+}
+
+TEST_CASE("SIGTERM while the directory holds its answer: readiness never follows") {
+  // Guards against the timer that opens the door after the wait, whatever has come meanwhile.
+  Fd directory = bind_udp({0x7f000001, 0});
+  nlohmann::json config = base_config();
+  config["nameserver"] = "127.0.0.1:" + std::to_string(local_port(directory));
+  HeldStart held;
+  held.start();
+  held.go_on(config);
+  require(readable(directory, kPatience), "the directory was never asked");
+  held.process().signal(SIGTERM);
+  held.process().wait_for("draining");
+  char question[512];
+  sockaddr_in from{};
+  socklen_t size = sizeof from;
+  const ssize_t got =
+      ::recvfrom(directory.get(), question, sizeof question, 0, reinterpret_cast<sockaddr*>(&from), &size);
+  require(got > 12, "no question");
+  const std::string answer = dns_answer({question, static_cast<std::size_t>(got)}, 2, {});
+  ::sendto(directory.get(), answer.data(), answer.size(), 0, reinterpret_cast<sockaddr*>(&from), size);
+  CHECK(held.process().exit_code() == 0);
+  const std::string log = held.process().log();
+  INFO(log);
+  const auto ready = log.find("ready to serve");
+  CHECK((ready == std::string::npos || ready < log.find("draining")));
+}
+
+TEST_CASE("hot restart: SIGTERM to the successor before it is ready, and the former serves on") {
+  const std::string folder = new_folder();
+  std::vector<Fd> passed;
+  passed.push_back(listen_anywhere());
+  nlohmann::json config = config_with(nullptr);
+  config["listen"] = "127.0.0.1:" + std::to_string(local_port(passed[0]));
+  std::ofstream(folder + "/config.json") << config.dump();
+  Process former;
+  former.start(folder, folder + "/former.log", passed);
+  former.wait_for("ready to serve");
+  HeldStart successor(folder);
+  successor.start(passed);
+  successor.process().signal(SIGTERM);
+  successor.go_on(config);
+  CHECK(successor.process().exit_code() == 0);
+  never_became_ready(successor.process());
+  CHECK(call_operators(former, "STATUS").starts_with("+OK"));
+  former.signal(SIGTERM);
+  CHECK(former.exit_code() == 0);
+  std::filesystem::remove_all(folder);
+}
+
+TEST_CASE("SIGTERM with other signals, in any order: what was taken is answered, and it ends with 0") {
+  const std::pair<const char*, const char*> orders[] = {
+      {"SIGHUP and SIGTERM in one turn", "signal STOP\nsignal HUP\nsignal TERM\nsignal CONT\n"},
+      {"SIGTERM, then SIGHUP", "signal TERM\nexpect log draining\nsignal HUP\nexpect log reread\n"},
+      {"SIGTERM, then SIGHUP with a broken file",
+       "signal TERM\nexpect log draining\nconfigure {\nsignal HUP\nexpect log the former settings stay\n"},
+      {"SIGHUP with a broken file, and SIGTERM in one turn",
+       "configure {\nsignal STOP\nsignal HUP\nsignal TERM\nsignal CONT\nexpect log the former settings "
+       "stay\n"},
+      {"SIGTERM twice", "signal TERM\nexpect log draining\nsignal TERM\n"},
+      {"SIGTERM, then SIGINT", "signal TERM\nexpect log draining\nsignal INT\n"},
+      {"SIGTERM and SIGINT in one turn", "signal STOP\nsignal INT\nsignal TERM\nsignal CONT\n"}};
+  for (const auto& [what, signals] : orders) {
+    DYNAMIC_SECTION(what) {
+      play(
+          std::string("engines a\nstart\nclient c\nsend c request 1 load 20000 INSERT INTO s_1.t VALUES (1)\n"
+                      "expect a REQ\n") +
+          signals + "expect c goaway\nsend a data parts=1 one\\n\nexpect c served 1 one\\n\n" +
+          "expect c eof\nclose c\nexpect dispatcher exit 0\nexpect a requests 1\n");
+    }
+  }
+}
+
+TEST_CASE("SIGTERM with a client that reads nothing: its answer and an orderly end are there when it does") {
+  play(R"(
+    engines a
+    start
+    client c
+    send c request 1 load 3000 INSERT INTO s_1.t VALUES (1)
+    expect a REQ
+    send a data parts=1 one\n
+    expect figure passed.load=1
+    signal TERM
+    expect dispatcher exit 0
+    expect c served 1 one\n
+    expect c goaway
+    expect c eof
+    expect a requests 1)");
+}
