--- a/src/front/frames.h
+++ b/src/front/frames.h
@@ -1,11 +1,13 @@
 // The platform's front: binary frames over TCP (PROTOCOL, "Clients to dispatchers").
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_set>
+#include <vector>
 
 #include "access/certificate.h"
 #include "core/dispatcher.h"
@@ -74,6 +76,11 @@
   // Keys, lists or rights have changed, and this is for new connections: those that are open are looked at
   // anew.
   void credentials_changed(std::shared_ptr<const tls::ServerContext> tls);
+  // The process is about to end: nobody is accepted any more, and every connection ends in order, each once
+  // what is open on it has its answers. A request that comes meanwhile is refused, one that comes behind our
+  // end is left alone. Clients that don't end their side are closed after `bound`.
+  void end_all(Duration bound);
+  bool has_connections() const { return connections_.size() > 0; }
   void accept_clients(bool accepting) { accepting ? acceptor_.start() : acceptor_.stop(); }
   // Other shares of what the dispatcher may hold; what is over them goes as others come.
   void resize(std::size_t most_connections, std::size_t most_unfinished, std::size_t most_untaken);
@@ -94,7 +101,13 @@
   };
   void accept(Fd fd);
   void drop(SlotKey key);
-  SlotKey quietest() const;  // of those that may go; 0: none
+  // Of the descriptors for clients this part is kept for connections on their way out: they end in order, and
+  // meanwhile others have come.
+  std::size_t most_ending() const { return std::max<std::size_t>(1, limits_.most_connections / 8); }
+  bool is_full() const;
+  void evict();
+  void client_gone(SlotKey key);
+  SlotKey next_to_evict() const;  // of those that may go; 0: none
   std::optional<Ticket> take_ticket(SlotKey key);
   void give_up(SlotKey ticket);  // its client waits no more
   void end_check(Ticket& ticket);
@@ -111,10 +124,12 @@
   std::unique_ptr<Sweep> sweep_;  // made when it is first needed
   SlotTable<std::unique_ptr<Connection>> connections_;
   SlotTable<Ticket> tickets_;
+  std::vector<SlotKey> ending_;  // of the connections, the first to go first
   std::unordered_set<std::string> open_calls_;
   std::size_t checking_ = 0;    // bytes of requests whose tokens wait to be checked
   std::size_t unfinished_ = 0;  // announced lengths of large frames that have begun
   bool draining_ = false;
+  Duration linger_ = std::chrono::milliseconds(300);  // for a client to end its side after we have ended ours
   Acceptor acceptor_;
 };
 
--- /dev/null
+++ b/tests/dispatch/closes.cpp
@@ -0,0 +1,683 @@
+// How connections of clients end: in an order that the test controls, on real sockets, with the loop in a
+// thread of its own and the client in the test's.
+#include <malloc.h>
+#include <netinet/tcp.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <cerrno>
+#include <cstdio>
+#include <deque>
+#include <fstream>
+#include <functional>
+#include <future>
+#include <map>
+#include <mutex>
+#include <sstream>
+
+#include "config/config.h"
+#include "core/dispatcher.h"
+#include "front/frames.h"
+#include "front/mysql.h"
+#include "process.h"
+#include "standins/standins.h"
+
+using namespace rookproxy;
+using namespace rookproxy::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A loop in its own thread. It waits for nothing but what the test makes happen.
+class Host final : private Watcher {
+ public:
+  Host() : wake_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+    loop.watch(wake_.get(), *this);
+    loop.each_turn([this] {
+      ++turns;
+      if (each_turn) each_turn();
+    });
+    thread_ = std::thread([this] { loop.run(); });
+  }
+  // Between two turns of the loop; returns once it is done.
+  template <class Task>
+  auto run(Task task) {
+    std::packaged_task<decltype(task())()> packaged(std::move(task));
+    auto result = packaged.get_future();
+    {
+      const std::lock_guard lock(mutex_);
+      tasks_.push_back([&packaged] { packaged(); });
+    }
+    const std::uint64_t one = 1;
+    REQUIRE(::write(wake_.get(), &one, sizeof one) == sizeof one);
+    return result.get();
+  }
+  ~Host() { finish(); }
+  // What is on the loop must not outlive it.
+  void finish(std::function<void()> last = {}) {
+    if (!thread_.joinable()) return;
+    run([&] {
+      if (last) last();
+      loop.stop();
+    });
+    thread_.join();
+  }
+  bool until(const std::function<bool()>& holds, std::chrono::milliseconds within = kPatience) {
+    const auto end = std::chrono::steady_clock::now() + within;
+    while (std::chrono::steady_clock::now() < end) {
+      if (run(holds)) return true;
+      std::this_thread::sleep_for(1ms);
+    }
+    return false;
+  }
+
+  Loop loop;
+  std::function<void()> each_turn;
+  std::atomic<int> turns{0};
+
+ private:
+  void on_ready(std::uint32_t) override {
+    std::uint64_t count = 0;
+    while (::read(wake_.get(), &count, sizeof count) > 0) {
+    }
+    for (;;) {
+      std::function<void()> task;
+      {
+        const std::lock_guard lock(mutex_);
+        if (tasks_.empty()) return;
+        task = std::move(tasks_.front());
+        tasks_.pop_front();
+      }
+      task();
+    }
+  }
+  Fd wake_;
+  std::mutex mutex_;
+  std::deque<std::function<void()>> tasks_;
+  std::thread thread_;
+};
+
+struct Heard final : StreamUser {
+  std::string got;
+  std::vector<std::string> ends;
+  std::size_t on_bytes(std::string_view bytes) override {
+    got += bytes;
+    return bytes.size();
+  }
+  void on_closed(std::string_view why) override { ends.emplace_back(why); }
+};
+
+// All that comes up to the end, and how it ended: 0 in order, else the fault.
+struct Rest {
+  std::string bytes;
+  int fault = 0;
+};
+Rest read_to_end(const Fd& fd) {
+  Rest rest;
+  char bytes[64 * 1024];
+  while (readable(fd, kPatience)) {
+    const ssize_t got = ::recv(fd.get(), bytes, sizeof bytes, 0);
+    if (got == 0) return rest;
+    if (got < 0) {
+      rest.fault = errno;
+      return rest;
+    }
+    rest.bytes.append(bytes, static_cast<std::size_t>(got));
+  }
+  rest.fault = ETIMEDOUT;
+  return rest;
+}
+
+// One stream of ours and the peer at its other end.
+struct Pair {
+  Host host;
+  Fd listener = listen_anywhere();
+  Peer peer = Peer::connect(local_port(listener));
+  Heard heard;
+  std::unique_ptr<Stream> stream;
+  Pair() {
+    REQUIRE(readable(listener, kPatience));
+    host.run([this] {
+      stream = std::make_unique<Stream>(host.loop, accept_from(listener), heard, false, 1 << 20);
+    });
+  }
+  ~Pair() {
+    host.finish([this] { stream.reset(); });
+  }
+};
+
+}  // namespace
+
+TEST_CASE("stream: an end in order takes nothing with it, though bytes lie unread") {
+  // Guards against a close that resets the connection and takes with it what was just written.
+  Pair pair;
+  const std::string answer(16u << 20, 'a');  // more than kernels hold, so that some is queued
+  pair.host.run([&] { pair.stream->hold_reading(true); });
+  pair.peer.send(std::string(100'000, 'q'));
+  pair.host.run([&] {
+    pair.stream->write(answer);
+    CHECK(pair.stream->queued() > 0);
+    pair.stream->end_in_order(kPatience);
+    pair.stream->write("too late");
+  });
+  pair.peer.send("behind the end");
+  const Rest rest = read_to_end(pair.peer.fd());
+  CHECK(rest.fault == 0);
+  CHECK((rest.bytes == answer));
+  CHECK(pair.host.run([&] { return pair.heard.ends.empty() && pair.stream->is_open(); }));
+  pair.peer.close();
+  CHECK(pair.host.until([&] { return !pair.heard.ends.empty(); }));
+  CHECK(pair.host.run([&] { return pair.heard.ends; }) == std::vector<std::string>{"closed by the peer"});
+  CHECK(pair.host.run([&] { return pair.heard.got; }) == "");
+}
+
+TEST_CASE("stream: an end in order still delivers to a peer that has ended its side") {
+  Pair pair;
+  const std::string answer(16u << 20, 'a');
+  pair.host.run([&] {
+    pair.stream->write(answer);
+    ::shutdown(pair.peer.fd().get(), SHUT_WR);
+    pair.stream->end_in_order(kPatience);
+  });
+  const Rest rest = read_to_end(pair.peer.fd());
+  CHECK(rest.fault == 0);
+  CHECK((rest.bytes == answer));
+  CHECK(pair.host.until([&] { return pair.heard.ends.size() == 1; }));
+}
+
+TEST_CASE("stream: an end in order is over at its bound, and the loop waits meanwhile") {
+  // Guards against a peer that never ends, and against a loop that turns with no wait: each shutdown() of a
+  // socket makes it ready once more.
+  for (const bool sends_on : {false, true}) {
+    Pair pair;
+    if (sends_on) pair.peer.send(std::string(1000, 'q'));
+    const auto begun = std::chrono::steady_clock::now();
+    const int turns = pair.host.turns;
+    std::promise<void> over;
+    pair.host.run([&] {
+      pair.stream->end_in_order(200ms);
+      pair.host.loop.at(pair.host.loop.now() + 300ms, [&] { over.set_value(); });
+    });
+    over.get_future().get();
+    CHECK(std::chrono::steady_clock::now() - begun >= 200ms);
+    CHECK(pair.host.run([&] { return pair.heard.ends; }) ==
+          std::vector<std::string>{"the peer did not end in time"});
+    CHECK(pair.host.turns - turns < 50);
+    CHECK(read_to_end(pair.peer.fd()).fault == 0);
+  }
+}
+
+namespace {
+
+// A front with its core, and links that only write down what they are told.
+struct FrontBench final : EngineLinks {
+  explicit FrontBench(FramesFront::Limits limits = {})
+      : log(text, Level::kDebug, "h", "a"),
+        core(host.loop, log, figures, read_config(read_json()).settings, {"z"}, {}) {
+    host.run([&] {
+      core.use(*this);
+      host.each_turn = [this] { core.settle(); };
+      core.learn_members(
+          {{"a", {0x7f000001, 1}, lemonshift::EngineState::kServing, "z", "m", 0, 1, std::nullopt}}, false);
+      core.settle();
+      frames = std::make_unique<FramesFront>(host.loop, log, core, listen_anywhere(), limits);
+      frames->accept_clients(true);
+      MysqlFrontConfig config;
+      config.users = {{"school", "secret"}};
+      config.read_class = "lookup";
+      config.load_class = "load";
+      config.read_deadline = config.load_deadline = kPatience;
+      mysql = std::make_unique<MysqlFront>(host.loop, log, core, listen_anywhere(), config, 1);
+      mysql->accept_clients(true);
+    });
+  }
+  ~FrontBench() {
+    host.finish([this] {
+      frames.reset();
+      mysql.reset();
+      host.each_turn = {};
+    });
+  }
+  static nlohmann::json read_json() {
+    nlohmann::json document = base_config();
+    document["nameserver"] = "127.0.0.1:1";  // never asked
+    document["settings"]["permissions"]["second_copies"] = false;
+    return document;
+  }
+
+  Peer client() { return Peer::connect(frames->port()); }
+  Peer mysql_client() {
+    Peer peer = Peer::connect(mysql->port());
+    const auto greeting = take_mysql(peer);
+    REQUIRE(greeting);
+    const auto read = mysql::read_greeting(greeting->payload);
+    mysql::Login login;
+    login.capabilities = mysql::kCapabilities & ~mysql::kConnectAttrs & ~mysql::kConnectWithDb;
+    login.user = "school";
+    login.plugin = read.plugin;
+    login.proof = *mysql::proof_for(read.plugin, "secret", read.nonce);
+    std::uint8_t sequence = 1;
+    peer.send(mysql::packets(mysql::login_payload(login), sequence));
+    auto answer = take_mysql(peer);
+    if (answer && answer->payload == "\x01\x03") answer = take_mysql(peer);
+    REQUIRE((answer && answer->payload.starts_with('\0')));
+    return peer;
+  }
+  static std::string query(const std::string& text) {
+    std::uint8_t sequence = 0;
+    return mysql::packets("\x03" + text, sequence);
+  }
+  std::string request(std::uint32_t stream, const std::string& statement = "SELECT 1") {
+    char call[17];
+    std::snprintf(call, sizeof call, "%016x", ++calls);
+    std::string payload(1, '\3');
+    for (const auto& [name, value] :
+         {std::pair<std::string, std::string>{"op", "lookup"}, {"ttl", "3000"}, {"call", call}}) {
+      payload += static_cast<char>(name.size()) + name + '\0' + static_cast<char>(value.size()) + value;
+    }
+    return frames::make_frame(frames::kRequest, stream, payload + statement);
+  }
+  bool sent(std::size_t count) {
+    return host.until([&] { return orders.size() >= count; });
+  }
+  void serve(std::size_t order, const std::string& body) {
+    host.run([&] { core.attempt_ended(orders.at(order).key, {Outcome::kServed, std::nullopt, body}); });
+  }
+
+  void send(const Order& order) override { orders.push_back(order); }
+  bool withdraw(AttemptKey key) override {
+    withdrawn.push_back(key);
+    return true;
+  }
+  void set_rank(AttemptKey, int) override {}
+  void probe(EngineId) override {}
+  void engine_at(EngineId, const Endpoint&) override {}
+  void engine_closed(EngineId) override {}
+
+  std::ostringstream text;
+  Host host;
+  Log log;
+  Figures figures;
+  Dispatcher core;
+  std::unique_ptr<FramesFront> frames;
+  std::unique_ptr<MysqlFront> mysql;
+  unsigned calls = 0;
+  std::vector<Order> orders;
+  std::vector<AttemptKey> withdrawn;
+};
+
+// What an ending in order leaves a client: whole answers by stream, and the end.
+std::map<std::uint32_t, int> codes_of(std::string_view bytes) {
+  std::map<std::uint32_t, int> codes;
+  frames::Frame frame;
+  std::size_t used = 0;
+  while (frames::parse_frame(bytes, frame, used) == frames::Parse::kOne) {
+    if (frame.type == frames::kAnswer) codes[frame.stream] = frame.payload[0];
+    bytes.remove_prefix(used);
+  }
+  CHECK(bytes.empty());
+  return codes;
+}
+
+}  // namespace
+
+TEST_CASE("frames: all connections end in order, each once what is open has its answer") {
+  FrontBench bench;
+  Peer busy = bench.client(), idle = bench.client(), silent = bench.client();
+  busy.send(bench.request(1));
+  REQUIRE(bench.sent(1));
+  idle.send(bench.request(1));
+  REQUIRE(bench.sent(2));
+  bench.serve(1, "one");
+  REQUIRE(idle.has(1));
+  REQUIRE(bench.host.until([&] { return bench.core.open_requests() == 1; }));
+  bench.host.run([&] { bench.frames->end_all(kPatience); });
+  // Behind our end nothing is sent on, and it resets nothing.
+  idle.send(bench.request(2));
+  const Rest rest = read_to_end(idle.fd());
+  CHECK(rest.fault == 0);
+  CHECK(codes_of(idle.buffer() + rest.bytes) == std::map<std::uint32_t, int>{{1, frames::kServed}});
+  CHECK(read_to_end(silent.fd()).fault == 0);
+  // What comes while an answer is owed is refused, and the answer comes.
+  busy.send(bench.request(2));
+  REQUIRE(busy.has(1));
+  bench.serve(0, "late");
+  const Rest last = read_to_end(busy.fd());
+  CHECK(last.fault == 0);
+  CHECK(codes_of(busy.buffer() + last.bytes) ==
+        std::map<std::uint32_t, int>{{1, frames::kServed}, {2, frames::kRefused}});
+  CHECK(bench.host.run([&] { return bench.frames->has_connections(); }));
+  idle.close(), silent.close(), busy.close();
+  CHECK(bench.host.until([&] { return !bench.frames->has_connections(); }));
+  CHECK(bench.orders.size() == 2);
+}
+
+TEST_CASE("frames: a request that lies unread when all connections end is served") {
+  // Guards against an end before the last look: its client wrote to a connection that was open.
+  FrontBench bench;
+  Peer client = bench.client();
+  client.send(bench.request(1));
+  REQUIRE(bench.sent(1));
+  bench.serve(0, "one");
+  REQUIRE(client.has(1));
+  bench.host.run([&] {
+    client.send(bench.request(2));  // in the kernel before the loop's next turn
+    bench.frames->end_all(kPatience);
+  });
+  REQUIRE(bench.sent(2));
+  bench.serve(1, "two");
+  const Rest rest = read_to_end(client.fd());
+  CHECK(rest.fault == 0);
+  CHECK(codes_of(client.buffer() + rest.bytes) ==
+        std::map<std::uint32_t, int>{{1, frames::kServed}, {2, frames::kServed}});
+}
+
+TEST_CASE("frames: who never ends its side is closed at the bound") {
+  FrontBench bench;
+  Peer client = bench.client();
+  client.send(bench.request(1));
+  REQUIRE(bench.sent(1));
+  bench.host.run([&] { bench.frames->end_all(50ms); });
+  bench.serve(0, "one");
+  CHECK(bench.host.until([&] { return !bench.frames->has_connections(); }));
+  CHECK(read_to_end(client.fd()).fault == 0);
+}
+
+TEST_CASE("mysql: all connections end in order, each once its command has its answer") {
+  FrontBench bench;
+  Peer busy = bench.mysql_client(), idle = bench.mysql_client(), silent = Peer::connect(bench.mysql->port());
+  REQUIRE(take_mysql(silent));
+  busy.send(FrontBench::query("SELECT 1"));
+  REQUIRE(bench.sent(1));
+  bench.host.run([&] { bench.mysql->end_all(kPatience); });
+  idle.send(FrontBench::query("SELECT 2"));
+  busy.send(FrontBench::query("SELECT 3"));
+  CHECK(read_to_end(idle.fd()).fault == 0);
+  CHECK(read_to_end(silent.fd()).fault == 0);
+  std::uint8_t sequence = 1;
+  const std::string answer = mysql::packets(mysql::ok_payload(0, 0, mysql::kAutocommit), sequence);
+  bench.serve(0, answer);
+  const Rest rest = read_to_end(busy.fd());
+  CHECK(rest.fault == 0);
+  CHECK(rest.bytes == answer);
+  CHECK(bench.host.run([&] { return bench.mysql->has_connections(); }));
+  idle.close(), silent.close(), busy.close();
+  CHECK(bench.host.until([&] { return !bench.mysql->has_connections(); }));
+  CHECK(bench.orders.size() == 1);
+}
+
+namespace {
+
+// The steps of a request's life at which its client may go, each brought about by the test.
+struct Going {
+  const char* how;
+  std::function<void(FrontBench&, Peer&)> go;
+};
+// The ways to go while the front reads nothing: the end must be seen all the same, and at once.
+const std::vector<Going>& ways_to_go() {
+  static const std::vector<Going> ways{
+      {"ends its side", [](FrontBench&, Peer& peer) { ::shutdown(peer.fd().get(), SHUT_WR); }},
+      {"closes", [](FrontBench&, Peer& peer) { peer.close(); }},
+      {"resets",
+       [](FrontBench&, Peer& peer) {
+         const linger none{1, 0};
+         ::setsockopt(peer.fd().get(), SOL_SOCKET, SO_LINGER, &none, sizeof none);
+         peer.close();
+       }},
+  };
+  return ways;
+}
+
+}  // namespace
+
+TEST_CASE("frames: a client that has gone is noticed while nothing is read from it") {
+  // Guards against attempts for nobody: the end lay unseen while the client's answers were not taken.
+  for (const auto& [how, go] : ways_to_go()) {
+    INFO(how);
+    FramesFront::Limits limits;
+    limits.most_queued = 64 * 1024;
+    FrontBench bench(limits);
+    Peer client = bench.client();
+    // Answers until the kernel takes no more, so that reading is held; then one more is open.
+    std::uint32_t stream = 0;
+    client.send(bench.request(++stream));
+    REQUIRE(bench.sent(stream));
+    const std::string body(40'000, 'r');
+    const auto is_queued = [&] { return bench.host.run([&] { return !bench.frames->is_flushed(); }); };
+    while (!is_queued()) {
+      client.send(bench.request(++stream));
+      REQUIRE(bench.sent(stream));
+      bench.serve(stream - 2, body);
+      REQUIRE(bench.host.until([&] { return bench.core.open_requests() == 1; }));
+    }
+    std::uint32_t last = stream;
+    for (int more = 0; more < 3; ++more) client.send(bench.request(++stream));
+    REQUIRE(bench.sent(stream));
+    for (; last < stream; ++last) bench.serve(last - 1, body);
+    REQUIRE(bench.host.until([&] { return bench.core.open_requests() == 1; }));
+    client.send(bench.request(++stream));  // lies unread, and must stay so
+    go(bench, client);
+    // Well before its deadline, which is 3 s off.
+    CHECK(bench.host.until([&] { return bench.core.open_requests() == 0; }, 1500ms));
+    CHECK(bench.host.run([&] { return bench.withdrawn.size(); }) == 1);
+    CHECK(bench.host.run([&] { return bench.orders.size(); }) == stream - 1);
+  }
+}
+
+TEST_CASE("mysql: a client that has gone is noticed while its command runs") {
+  for (const auto& [how, go] : ways_to_go()) {
+    INFO(how);
+    FrontBench bench;
+    Peer client = bench.mysql_client();
+    client.send(FrontBench::query("SELECT 1"));
+    REQUIRE(bench.sent(1));
+    client.send(FrontBench::query("SELECT 2") + FrontBench::query(std::string(50'000, 'x')));
+    go(bench, client);
+    CHECK(bench.host.until([&] { return bench.core.open_requests() == 0; }));
+    CHECK(bench.host.run([&] { return bench.withdrawn.size(); }) == 1);
+    CHECK(bench.host.run([&] { return bench.orders.size(); }) == 1);
+  }
+}
+
+TEST_CASE("fronts: what came in one piece with its client's end is not sent on") {
+  FrontBench bench;
+  Peer of_frames = bench.client(), of_mysql = bench.mysql_client();
+  REQUIRE(bench.host.until([&] { return bench.frames->has_connections(); }));
+  bench.host.run([&] {
+    of_frames.send(bench.request(1) + bench.request(2));
+    of_mysql.send(FrontBench::query("SELECT 1"));
+    of_frames.close();
+    of_mysql.close();
+  });
+  CHECK(
+      bench.host.until([&] { return !bench.frames->has_connections() && !bench.mysql->has_connections(); }));
+  CHECK(bench.orders.empty());
+  CHECK(bench.core.open_requests() == 0);
+}
+
+TEST_CASE("frames: an abandoned stream is called off on a broken connection, too") {
+  // Guards against attempts for somebody who has gone, for as long as another stream keeps the connection.
+  FrontBench bench;
+  Peer client = bench.client();
+  client.send(bench.request(1) + bench.request(2));
+  REQUIRE(bench.sent(2));
+  client.send(frames::make_frame(77, 3, "") + frames::make_frame(frames::kAbandon, 2, ""));
+  CHECK(bench.host.until([&] { return bench.core.open_requests() == 1; }));
+  CHECK(bench.host.run([&] { return bench.withdrawn.size(); }) == 1);
+  CHECK(bench.host.run([&] { return bench.withdrawn.at(0) == bench.orders.at(1).key; }));
+  client.send(frames::make_frame(frames::kAbandon, 1, ""));
+  const Rest rest = read_to_end(client.fd());
+  CHECK(rest.fault == 0);
+  CHECK(codes_of(rest.bytes) == std::map<std::uint32_t, int>{{0, frames::kFailed}});
+}
+
+TEST_CASE("frames: the end of a client is noticed where its frames can't be told apart") {
+  FrontBench bench;
+  Peer client = bench.client();
+  client.send(bench.request(1));
+  REQUIRE(bench.sent(1));
+  client.send(std::string(4, '\xff') + std::string(100'000, 'x'));
+  REQUIRE(client.has(1));
+  client.close();
+  CHECK(bench.host.until([&] { return bench.core.open_requests() == 0; }));
+  CHECK(bench.host.run([&] { return bench.withdrawn.size(); }) == 1);
+}
+
+TEST_CASE("frames: an idle connection ends in order, and not over a request that lies unread") {
+  FramesFront::Limits limits;
+  limits.idle = 100ms;
+  FrontBench bench(limits);
+  Peer client = bench.client();
+  client.send(bench.request(1));
+  REQUIRE(bench.sent(1));
+  bench.serve(0, "one");
+  REQUIRE(client.has(1));
+  // The loop stands still over the time at which the connection is idle, and the request comes meanwhile.
+  bench.host.run([&] {
+    std::this_thread::sleep_for(150ms);
+    bench.host.loop.at(bench.host.loop.now() + 1ms, [&] { client.send(bench.request(2)); });
+  });
+  REQUIRE(bench.sent(2));
+  bench.serve(1, "two");
+  const Rest rest = read_to_end(client.fd());
+  CHECK(rest.fault == 0);
+  CHECK(codes_of(client.buffer() + rest.bytes) ==
+        std::map<std::uint32_t, int>{{1, frames::kServed}, {2, frames::kServed}});
+  // Behind our end nothing is sent on, and nothing is reset.
+  client.send(bench.request(3));
+  CHECK(bench.host.run([&] { return bench.orders.size(); }) == 2);
+}
+
+TEST_CASE("frames: who gives way to others is served first, and ends in order") {
+  // Guards against a reset over an answer just written, and against more connections than there may be.
+  FramesFront::Limits limits;
+  limits.most_connections = 8;
+  FrontBench bench(limits);
+  std::vector<Peer> clients;
+  for (int i = 0; i < 7; ++i) {
+    clients.push_back(bench.client());
+    clients.back().send(bench.request(1));
+    REQUIRE(bench.sent(clients.size()));
+    bench.serve(clients.size() - 1, "one");
+    REQUIRE(clients.back().has(1));
+  }
+  std::this_thread::sleep_for(30ms);  // nobody is pushed out before what came with it could be read
+  std::vector<Peer> late;
+  bench.host.run([&] {
+    for (int i = 0; i < 2; ++i) late.push_back(bench.client());
+    clients[0].send(bench.request(2));  // comes in the turn in which others come
+  });
+  REQUIRE(bench.sent(8));
+  bench.serve(7, "two");
+  for (Peer& one : late) one.send(bench.request(1));
+  REQUIRE(bench.sent(10));
+  REQUIRE(clients[0].more());
+  const Rest first = read_to_end(clients[1].fd());
+  CHECK(first.fault == 0);
+  CHECK(codes_of(clients[1].buffer() + first.bytes) == std::map<std::uint32_t, int>{{1, frames::kServed}});
+  bench.serve(8, "late"), bench.serve(9, "late");
+  for (Peer& one : late) CHECK(one.has(1));
+}
+
+TEST_CASE("mysql: an idle connection ends in order, and so does one that says goodbye") {
+  FrontBench bench;
+  Peer client = bench.mysql_client();
+  client.send(FrontBench::query("SELECT 1"));
+  REQUIRE(bench.sent(1));
+  std::uint8_t sequence = 1;
+  const std::string answer = mysql::packets(mysql::ok_payload(0, 0, mysql::kAutocommit), sequence);
+  bench.serve(0, answer);
+  sequence = 0;
+  client.send(mysql::packets("\x01", sequence) + std::string(100'000, 'x'));
+  const Rest rest = read_to_end(client.fd());
+  CHECK(rest.fault == 0);
+  CHECK(rest.bytes == answer);
+}
+
+TEST_CASE("net: small writes leave at once on every TCP socket") {
+  const Fd listener = listen_anywhere();
+  const Fd dialled = connect_tcp({0x7f000001, local_port(listener)});
+  REQUIRE(readable(listener, kPatience));
+  const Fd accepted = accept_from(listener);
+  for (const Fd* fd : {&dialled, &accepted}) {
+    int on = 0;
+    socklen_t size = sizeof on;
+    REQUIRE(::getsockopt(fd->get(), IPPROTO_TCP, TCP_NODELAY, &on, &size) == 0);
+    CHECK(on == 1);
+  }
+}
+
+namespace {
+
+// Bytes that the program holds of its heap, in both kinds of blocks. A sanitizer's heap does not tell.
+std::size_t held_bytes() {
+#ifdef __SANITIZE_ADDRESS__
+  return 0;
+#endif
+  const struct mallinfo2 info = ::mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+}  // namespace
+
+TEST_CASE("frames: a flood behind a broken frame is bounded while it comes, and gone with its clients") {
+  // Guards against a buffer for each such connection: they stay as long as something is open on them. Of
+  // large frames that have begun there are most_unfinished bytes, in good connections and broken ones.
+  FramesFront::Limits limits;
+  limits.most_unfinished = 1u << 20;
+  FrontBench bench(limits);
+  std::vector<Peer> crowd;
+  const std::string large = frames::make_frame(frames::kRequest, 9, std::string(260'000, 'x'));
+  const std::size_t before = held_bytes();
+  for (std::uint32_t i = 0; i < 30; ++i) {
+    crowd.push_back(bench.client());
+    crowd.back().send(bench.request(1) + frames::make_frame(77, 3, ""));
+    REQUIRE(crowd.back().has(1));  // it was told of the broken frame
+    crowd.back().send(std::string_view(large).substr(0, large.size() - 1));
+  }
+  // Others are served meanwhile. In each turn that this takes, 64 kB of each flood are read.
+  Peer good = bench.client();
+  for (int turn = 0; turn < 10; ++turn) {
+    good.send(frames::make_frame(frames::kIsReady, 1, std::string(1, '\0')));
+    REQUIRE(good.has(1));
+    good.buffer().clear();
+  }
+  CHECK(bench.host.run([&] { return bench.core.open_requests(); }) == 30);
+  CHECK(held_bytes() - before < (4u << 20));  // 7.8 MB were sent
+  crowd.clear();
+  CHECK(bench.host.until([&] { return bench.core.open_requests() == 0; }));
+}
+
+TEST_CASE("mysql: large commands that have begun share a budget, and little comes before a log-in") {
+  FrontBench bench;
+  bench.host.run([&] { bench.mysql->resize(100, 1u << 20, 1u << 20); });
+  const auto begin = [](std::size_t length, std::uint8_t sequence) {
+    std::string head;
+    mysql::put_number(head, length, 3);
+    return head + static_cast<char>(sequence);
+  };
+  const auto error_of = [](Peer& peer) {
+    const auto message = take_mysql(peer);
+    return message && message->payload.starts_with('\xff') ? mysql::read_error(message->payload).code : 0;
+  };
+  Peer stranger = Peer::connect(bench.mysql->port());
+  REQUIRE(take_mysql(stranger));
+  stranger.send(begin(100'000, 1));
+  CHECK(error_of(stranger) == mysql::kPacketTooLarge);
+  Peer first = bench.mysql_client(), second = bench.mysql_client(), third = bench.mysql_client();
+  first.send(begin(900'000, 0));
+  CHECK(bench.host.until([&] { return bench.mysql->is_receiving_large(); }));
+  second.send(begin(900'000, 0));
+  CHECK(error_of(second) == mysql::kOutOfResources);
+  third.send(FrontBench::query("SELECT 1"));  // small ones pass
+  REQUIRE(bench.sent(1));
+  first.close();
+  CHECK(bench.host.until([&] { return !bench.mysql->is_receiving_large(); }));
+  third.close();
+  Peer fourth = bench.mysql_client();
+  fourth.send(FrontBench::query("SELECT '" + std::string(900'000, 'x') + "'"));
+  CHECK(bench.sent(2));
+}
