End resting clients in order after SIGTERM, before SIGKILL, also while an engine hangs

Cause: App::stop_when_idle stopped the loop only once no request was open, and main then left every connection to the kernel. One engine that hung under a long deadline kept all resting clients until SIGKILL, which resets who had sent meanwhile and takes what was read and not answered.

Requests that came in time are not given up for it: what SIGKILL finds of them is nobody's loss, and without one they are served by their own deadlines. At a door of its own that stays open for a long request newcomers are let in and ended likewise, as they would hang at it.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -331,7 +331,7 @@
   if (fleet_) fleet_->leave();
   if (frames_) frames_->drain();
   if (mysql_ && !config_.mysql->passed_socket) mysql_->drain();
-  drained_at_ = loop_.now();
+  drained_at_ = last_open_ = loop_.now();
   Duration longest{};
   for (const auto& cls : config_.settings.classes)
     longest = std::max(longest, span_from_module(cls.deadline));
@@ -353,19 +353,28 @@
   state.ending = ending_;
   state.taking_in = !ending_ && is_taking_in();
   state.seen_all = std::exchange(looks_, false) && loop_.is_quiet();
+  state.has_connections = (frames_ && frames_->has_connections()) || (mysql_ && mysql_->has_connections());
   state.open_requests = core_.open_requests();
+  if (state.open_requests > 0) last_open_ = loop_.now();
+  state.none_open_for = loop_.now() - last_open_;
   const decide::ShutdownOrder order = decide::next_shutdown_step(shutdown_times_, state);
   if (order.step == decide::ShutdownStep::kExit) {
     log_.line(Level::kNotice, "stop", "idle, so done", {});
     return loop_.stop();
   }
+  if (order.step == decide::ShutdownStep::kEndClients) {
+    ending_ = true;
+    log_.line(Level::kInfo, "stop", "ending clients", {{"open", std::to_string(state.open_requests)}});
+  }
+  if (ending_) {  // also those let in since
+    const Duration bound = decide::end_bound(shutdown_times_, state.since);
+    if (frames_) frames_->end_all(bound);
+    if (mysql_) mysql_->end_all(bound);
+  }
   if (frames_) frames_->accept_clients(order.let_in);
   if (mysql_ && state.successor_ready) mysql_->leave();
-  if (order.step == decide::ShutdownStep::kEndClients) ending_ = true;
   looks_ = order.step == decide::ShutdownStep::kLook;
-  const Duration pause =
-      looks_ || order.step == decide::ShutdownStep::kEndClients ? Duration(0) : kLookAtShutdown;
-  loop_.at(loop_.now() + pause, [this] { shut_down(); });
+  loop_.at(loop_.now() + (looks_ ? Duration(0) : kLookAtShutdown), [this] { shut_down(); });
 }
 
 }  // namespace rookproxy
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -65,8 +65,8 @@
   std::unique_ptr<FramesFront> frames_;
   std::unique_ptr<MysqlFront> mysql_;
   std::unique_ptr<OpsServer> ops_;
-  std::optional<Siblings> siblings_;  // where the clients' socket was passed: without, there can be none
-  Time drained_at_{};
+  std::optional<Siblings> siblings_;      // where the clients' socket was passed: without, there can be none
+  Time drained_at_{}, last_open_{};       // told to end; a request was open
   decide::ShutdownTimes shutdown_times_;  // by the classes' deadlines as they were then
   bool ready_ = false, draining_ = false, shared_ = false;
   bool looks_ = false;   // the turn that follows waits for nothing, to see what there is
--- a/src/decide/shutdown.cpp
+++ b/src/decide/shutdown.cpp
@@ -32,11 +32,17 @@
   return times;
 }
 
+Duration end_bound(const ShutdownTimes& times, Duration since) {
+  return std::max(kEndsTake, times.end_by - since);
+}
+
 ShutdownOrder next_shutdown_step(const ShutdownTimes& times, const ShutdownState& state) {
   using Step = ShutdownStep;
   if (state.ending) {
-    const bool waits = state.open_requests > 0 || (state.has_connections && state.since < times.end_by);
-    return {waits ? Step::kGoOn : Step::kExit, false};
+    const bool asks = state.open_requests > 0;
+    const bool ends =
+        state.has_connections && (state.since < times.end_by || state.none_open_for < kEndsTake);
+    return {asks || ends ? Step::kGoOn : Step::kExit, asks && !state.door_is_shared};
   }
   if (!state.opened && state.door_is_shared) return {Step::kExit, false};
   const bool let_in = !state.successor_ready;
--- a/src/decide/shutdown.h
+++ b/src/decide/shutdown.h
@@ -13,11 +13,14 @@
 //                                   answers are not taken
 //   then                            not all that waits was seen       looks once more, and takes it
 //                                   else                              ends its clients
-//   clients are being ended         a connection or a request is      waits
-//                                   open
+//   clients are being ended         a request is open                 waits; at a door of its own, where
+//   newcomers would
+//                                                                     hang for as long, it lets them in and
+//                                                                     ends them
+//                                   a connection is open              waits
 //                                   neither                           exits
-//   end_by                          no request is open                exits, whoever has not taken his end
-//                                   requests are open                 waits: they have a deadline each
+//   end_by, and a little after the  a connection is open              exits, whoever has not taken his end
+//   last answer
 //
 // Requests that came in time are never given up for the sake of an early exit. What SIGKILL finds unanswered
 // of them is nobody's loss, and without one they are served.
@@ -47,6 +50,7 @@
   bool seen_all = false;          // a turn of the loop that waited for nothing found nothing
   bool has_connections = false;   // of clients
   std::size_t open_requests = 0;  // also those whose clients have gone
+  Duration none_open_for{};       // so long there has been none
 };
 
 enum class ShutdownStep { kGoOn, kLook, kEndClients, kExit };
@@ -56,6 +60,8 @@
   auto operator<=>(const ShutdownOrder&) const = default;
 };
 
+// How long a client has, whose end we tell it now, to end its side.
+Duration end_bound(const ShutdownTimes& times, Duration since);
 // Once kEndClients was carried out, `ending` holds.
 ShutdownOrder next_shutdown_step(const ShutdownTimes& times, const ShutdownState& state);
 
