--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -85,10 +85,10 @@
 
 // A starting process waits so long for the directory; what it was told at its start has to do then.
 constexpr Duration kDirectoryWait = std::chrono::milliseconds(500);
-constexpr Duration kLookForSiblings = std::chrono::milliseconds(100);
+constexpr Duration kLookForOtherProcess = std::chrono::milliseconds(100);
 constexpr Duration kLookAtShutdown = std::chrono::milliseconds(20);
 
-std::string siblings_file(const Config& config) {
+std::string hot_restart_file(const Config& config) {
   std::string name = config.name;
   std::replace(name.begin(), name.end(), '/', '_');
   return config.shared_folder + "/rookproxy-" + name + ".locks";
@@ -164,8 +164,8 @@
     log.line(Level::kNotice, "start", "serving mysql", {{"port", std::to_string(mysql_->port())}});
   }
   if (config.passed_socket || (config.mysql && config.mysql->passed_socket))
-    siblings_.emplace(siblings_file(config));
-  if (siblings_ && !siblings_->has_seat()) {
+    hot_restart_.emplace(hot_restart_file(config));
+  if (hot_restart_ && !hot_restart_->has_seat()) {
     log.line(Level::kWarning, "start", "no lock in the shared folder: taken to be alone",
              {{"folder", config.shared_folder}});
   }
@@ -177,7 +177,7 @@
   }
   if (config.fleet) fleet_ = std::make_unique<Fleet>(loop, log, fleet_settings(config), config.seed);
   resize();
-  if (siblings_) share_with_siblings();
+  if (hot_restart_) share_with_other_process();
   // From the loop: a signal to end that has waited for it comes first.
   loop.at(loop.now(), [this, until = loop.now() + kDirectoryWait] { become_ready(until); });
   loop.each_turn([this] { core_.settle(); });
@@ -201,18 +201,18 @@
   ready_ = true;
   if (frames_) frames_->accept_clients(true);
   if (mysql_) mysql_->accept_clients(true);
-  if (siblings_) siblings_->say_ready(true);
+  if (hot_restart_) hot_restart_->say_ready(true);
   log_.line(Level::kNotice, "start", "ready to serve", {});
 }
 
-void App::share_with_siblings() {
-  const bool shared = siblings_->another_lives();
+void App::share_with_other_process() {
+  const bool shared = hot_restart_->another_lives();
   if (shared != shared_) {
     shared_ = shared;
     log_.line(Level::kNotice, "start", shared_ ? "another process lives: half of every share" : "alone", {});
     resize();
   }
-  loop_.at(loop_.now() + kLookForSiblings, [this] { share_with_siblings(); });
+  loop_.at(loop_.now() + kLookForOtherProcess, [this] { share_with_other_process(); });
 }
 
 // Two processes of one dispatcher have one limit on memory and descriptors together.
@@ -327,7 +327,7 @@
 void App::drain() {
   if (std::exchange(draining_, true)) return;
   log_.line(Level::kNotice, "stop", "draining", {{"open", std::to_string(core_.open_requests())}});
-  if (siblings_) siblings_->say_ready(false);
+  if (hot_restart_) hot_restart_->say_ready(false);
   if (fleet_) fleet_->leave();
   if (frames_) frames_->drain();
   if (mysql_ && !config_.mysql->passed_socket) mysql_->drain();
@@ -349,7 +349,7 @@
   state.since = loop_.now() - drained_at_;
   state.opened = ready_;
   state.door_is_shared = config_.passed_socket.has_value() || (config_.mysql && config_.mysql->passed_socket);
-  state.successor_ready = siblings_ && siblings_->another_is_ready();
+  state.successor_ready = hot_restart_ && hot_restart_->another_is_ready();
   state.ending = ending_;
   state.taking_in = !ending_ && is_taking_in();
   state.seen_all = std::exchange(looks_, false) && loop_.is_quiet();
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -4,7 +4,7 @@
 #include <memory>
 
 #include "access/gatekeeper.h"
-#include "app/siblings.h"
+#include "app/hot_restart.h"
 #include "config/config.h"
 #include "core/dispatcher.h"
 #include "decide/shutdown.h"
@@ -48,7 +48,7 @@
   void shut_down();
   bool is_taking_in() const;
   void become_ready(Time at_the_latest);
-  void share_with_siblings();
+  void share_with_other_process();
   void resize();
 
   Loop& loop_;
@@ -65,9 +65,9 @@
   std::unique_ptr<FramesFront> frames_;
   std::unique_ptr<MysqlFront> mysql_;
   std::unique_ptr<OpsServer> ops_;
-  std::optional<Siblings> siblings_;      // where the clients' socket was passed: without, there can be none
-  Time drained_at_{}, last_open_{};       // told to end; a request was open
-  decide::ShutdownTimes shutdown_times_;  // by the classes' deadlines as they were then
+  std::optional<HotRestart> hot_restart_;  // where the clients' socket was passed: without, there can be none
+  Time drained_at_{}, last_open_{};        // told to end; a request was open
+  decide::ShutdownTimes shutdown_times_;   // by the classes' deadlines as they were then
   bool ready_ = false, draining_ = false, shared_ = false;
   bool looks_ = false;   // the turn that follows waits for nothing, to see what there is
   bool ending_ = false;  // clients are being ended
--- a/src/app/siblings.h
+++ b/src/app/hot_restart.h
@@ -1,4 +1,5 @@
-// What the processes of one dispatcher know of each other during an upgrade: who is there, and who is ready.
+// What the processes of one dispatcher know of each other during a hot restart: who is there, and who is
+// ready.
 #pragma once
 
 #include <string>
@@ -9,10 +10,10 @@
 
 // Record locks on one file of the shared folder, two for each process: one says that it lives, the other that
 // it is ready. The kernel releases them at its death, however it dies, so what the dead leave says nothing.
-class Siblings {
+class HotRestart {
  public:
   // The file is made if it is missing. Without it (a read-only folder) this process takes itself for alone.
-  explicit Siblings(const std::string& file);
+  explicit HotRestart(const std::string& file);
   bool has_seat() const { return seat_ >= 0; }
   void say_ready(bool ready);
   bool another_lives() const { return another(kLives); }
