A wait that a signal cut short has not looked: no exit by the clock alone

Cause: App::stop_when_idle went by the clock. A process that stood still over the stragglers' time (SIGSTOP, or no core for it) came back from epoll_wait with EINTR and no events, found its time over and nothing open, and left, with requests unread on open connections and others in the backlog. Loop::is_quiet now says no for such a turn.

Test: 'SIGTERM, and the process stands still over the stragglers' time': with the former program the request is never sent on ('expect a REQ: nothing came'), now both are served and ended in order.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -90,7 +90,7 @@
   // in before what they sent is read.
   ready.insert(ready.end(), again_.begin(), again_.end());
   again_.clear();
-  quiet_ = ready.empty();
+  quiet_ = count >= 0 && ready.empty();  // one cut short by a signal has not looked
   for (const auto& [key, what] : ready) {
     // Found anew for each event: one before it in this turn may have closed this one and reused its slot.
     if (Watcher** watcher = watchers_.find(key)) (*watcher)->on_ready(what);
--- a/tests/dispatch/stop.cpp
+++ b/tests/dispatch/stop.cpp
@@ -170,6 +170,18 @@
   return std::string(16 - digits.size(), '0') + digits;
 }
 
+// A request on stream 1, and on stream 2 the question whether the dispatcher is ready.
+std::string request_and_question(std::size_t number) {
+  const frames::Fields fields{{"op", "lookup"}, {"ttl", "9000"}, {"call", call_id(number)}};
+  std::string payload(1, static_cast<char>(fields.size()));
+  for (const auto& [key, value] : fields) {
+    payload +=
+        static_cast<char>(key.size()) + key + std::string(1, '\0') + static_cast<char>(value.size()) + value;
+  }
+  return frames::make_frame(frames::kRequest, 1, payload + "SELECT 1") +
+         frames::make_frame(frames::kIsReady, 2, std::string(1, '\0'));
+}
+
 void never_became_ready(const Process& process) {
   const std::string log = process.log();
   INFO(log);
@@ -213,15 +225,21 @@
   CHECK(held.process().exit_code() == 0);
 }
 
-TEST_CASE("SIGTERM while the directory holds its answer: readiness never follows") {
-  // Guards against the timer that opens the door after the wait, whatever has come meanwhile.
+TEST_CASE("SIGTERM while the directory holds its answer: readiness never follows, and who waits is served") {
+  // Guards against the timer that opens the door after the wait, whatever has come meanwhile, and against a
+  // backlog that falls with the process.
+  LinesEngine engine;
   Fd directory = bind_udp({0x7f000001, 0});
   nlohmann::json config = base_config();
   config["nameserver"] = "127.0.0.1:" + std::to_string(local_port(directory));
+  config["known"]["batch"] = known_batch(engine.port());
   HeldStart held;
   held.start();
   held.go_on(config);
   require(readable(directory, kPatience), "the directory was never asked");
+  Peer client = Peer::connect(
+      static_cast<std::uint16_t>(std::stoi(held.process().wait_for("start [rookproxy@32473 port=\""))));
+  client.send(request_and_question(1));
   held.process().signal(SIGTERM);
   held.process().wait_for("draining");
   char question[512];
@@ -230,8 +248,19 @@
   const ssize_t got =
       ::recvfrom(directory.get(), question, sizeof question, 0, reinterpret_cast<sockaddr*>(&from), &size);
   require(got > 12, "no question");
-  const std::string answer = dns_answer({question, static_cast<std::size_t>(got)}, 2, {});
+  const std::string answer = dns_answer({question, static_cast<std::size_t>(got)}, 1, {});
   ::sendto(directory.get(), answer.data(), answer.size(), 0, reinterpret_cast<sockaddr*>(&from), size);
+  CHECK(client.at_end());
+  CHECK_FALSE(client.was_reset());
+  std::size_t used = 0, served = 0, not_ready = 0;
+  for (frames::Frame frame; frames::parse_frame(client.buffer(), frame, used) == frames::Parse::kOne;) {
+    if (frame.type == frames::kAnswer && frame.payload[0] == 0) ++served;
+    if (frame.type == frames::kReady && frame.payload[0] == 1) ++not_ready;
+    client.take(used);
+  }
+  CHECK(served == 1);
+  CHECK(not_ready == 1);
+  client.close();
   CHECK(held.process().exit_code() == 0);
   const std::string log = held.process().log();
   INFO(log);
@@ -422,14 +451,7 @@
     std::vector<Peer> clients;
     for (const Fd& door : doors) {
       clients.push_back(Peer::connect(local_port(door)));
-      const frames::Fields fields{{"op", "lookup"}, {"ttl", "9000"}, {"call", call_id(clients.size())}};
-      std::string payload(1, static_cast<char>(fields.size()));
-      for (const auto& [key, value] : fields) {
-        payload += static_cast<char>(key.size()) + key + std::string(1, '\0') +
-                   static_cast<char>(value.size()) + value;
-      }
-      clients.back().send(frames::make_frame(frames::kRequest, 1, payload + "SELECT 1") +
-                          frames::make_frame(frames::kIsReady, 2, std::string(1, '\0')));
+      clients.back().send(request_and_question(clients.size()));
     }
     std::size_t served = 0;
     for (Peer& client : clients) {
@@ -458,3 +480,35 @@
     for (auto& one : all) CHECK(one.process().exit_code() == 0);
   }
 }
+
+TEST_CASE("SIGTERM, and the process stands still over the stragglers' time: who asked meanwhile is served") {
+  // Guards against an exit by the clock alone: a wait that a signal cut short has seen neither the backlog
+  // nor what lies unread on open connections.
+  play(R"(
+    engines a
+    start
+    client c
+    send c ready 900
+    expect c ready 0
+    signal TERM
+    expect c goaway
+    signal STOP
+    send c request 1 lookup 9000 SELECT 1
+    client d
+    send d request 1 load 9000 INSERT INTO s_1.t VALUES (1)
+    wait 1200
+    signal CONT
+    expect a REQ
+    send a data parts=1 one\n
+    expect a REQ
+    send a data parts=1 one\n
+    expect c served 1 one\n
+    expect c eof
+    close c
+    expect d goaway among
+    expect d served 1 one\n
+    expect d eof
+    close d
+    expect dispatcher exit 0
+    expect a requests 2)");
+}
