--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -26,9 +26,6 @@
 
 constexpr std::size_t kMostResult = 8u << 20;  // bytes of one result from an engine that speaks MySQL
 
-// After SIGTERM new connections come for 0.4 s and requests on open ones for 0.2 s: with room to spare.
-constexpr Duration kStragglers = std::chrono::milliseconds(1000);
-
 PoolLimits pool_limits(const Config& config) {
   PoolLimits limits;
   limits.most_connections = engine_share(config.sockets);
@@ -91,11 +88,10 @@
 
 // A starting process waits so long for the directory; what it was told at its start has to do then.
 constexpr Duration kDirectoryWait = std::chrono::milliseconds(500);
-constexpr Duration kLookForSiblings = std::chrono::milliseconds(100);
-// A request is written in 2 s at most: no longer is one waited for that is on its way in.
-constexpr Duration kPiecesEnd = std::chrono::milliseconds(2600);
+constexpr Duration kLookForOtherProcess = std::chrono::milliseconds(100);
+constexpr Duration kLookAtShutdown = std::chrono::milliseconds(20);
 
-std::string siblings_file(const Config& config) {
+std::string hot_restart_file(const Config& config) {
   std::string name = config.name;
   std::replace(name.begin(), name.end(), '/', '_');
   return config.shared_folder + "/rookproxy-" + name + ".locks";
@@ -171,8 +167,8 @@
     log.line(Level::kNotice, "start", "serving mysql", {{"port", std::to_string(mysql_->port())}});
   }
   if (config.passed_socket || (config.mysql && config.mysql->passed_socket))
-    siblings_.emplace(siblings_file(config));
-  if (siblings_ && !siblings_->has_seat()) {
+    hot_restart_.emplace(hot_restart_file(config));
+  if (hot_restart_ && !hot_restart_->has_seat()) {
     log.line(Level::kWarning, "start", "no lock in the shared folder: taken to be alone",
              {{"folder", config.shared_folder}});
   }
@@ -184,8 +180,9 @@
   }
   if (config.fleet) fleet_ = std::make_unique<Fleet>(loop, log, fleet_settings(config), config.seed);
   resize();
-  if (siblings_) share_with_siblings();
-  become_ready(loop.now() + kDirectoryWait);
+  if (hot_restart_) share_with_other_process();
+  // From the loop: a signal to end that has waited for it comes first.
+  loop.at(loop.now(), [this, until = loop.now() + kDirectoryWait] { become_ready(until); });
   loop.each_turn([this] { core_.settle(); });
   loop.on_long_turn(kLongTurn, [this](Duration took) {
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(took).count();
@@ -196,7 +193,9 @@
 std::string App::why_not_ready() const { return draining_ ? "draining" : ready_ ? "" : "starting"; }
 
 // Nothing is accepted until the directory has been heard: what waits at the socket is not lost meanwhile.
+// Told to end before that, it never opens: clients would come to a process that is about to leave.
 void App::become_ready(Time at_the_latest) {
+  if (draining_) return;
   if (directory_ && !directory_->has_answered() && loop_.now() < at_the_latest) {
     loop_.at(loop_.now() + std::chrono::milliseconds(5),
              [this, at_the_latest] { become_ready(at_the_latest); });
@@ -205,18 +204,18 @@
   ready_ = true;
   if (frames_) frames_->accept_clients(true);
   if (mysql_) mysql_->accept_clients(true);
-  if (siblings_ && !draining_) siblings_->say_ready(true);
+  if (hot_restart_) hot_restart_->say_ready(true);
   log_.line(Level::kNotice, "start", "ready to serve", {});
 }
 
-void App::share_with_siblings() {
-  const bool shared = siblings_->another_lives();
+void App::share_with_other_process() {
+  const bool shared = hot_restart_->another_lives();
   if (shared != shared_) {
     shared_ = shared;
     log_.line(Level::kNotice, "start", shared_ ? "another process lives: half of every share" : "alone", {});
     resize();
   }
-  loop_.at(loop_.now() + kLookForSiblings, [this] { share_with_siblings(); });
+  loop_.at(loop_.now() + kLookForOtherProcess, [this] { share_with_other_process(); });
 }
 
 // Two processes of one dispatcher have one limit on memory and descriptors together.
@@ -331,29 +330,54 @@
 void App::drain() {
   if (std::exchange(draining_, true)) return;
   log_.line(Level::kNotice, "stop", "draining", {{"open", std::to_string(core_.open_requests())}});
-  if (siblings_) siblings_->say_ready(false);
+  if (hot_restart_) hot_restart_->say_ready(false);
   if (fleet_) fleet_->leave();
   if (frames_) frames_->drain();
   if (mysql_ && !config_.mysql->passed_socket) mysql_->drain();
-  drained_at_ = loop_.now();
-  stop_from_ = drained_at_ + kStragglers;
-  stop_when_idle();
+  drained_at_ = last_open_ = loop_.now();
+  Duration longest{};
+  for (const auto& cls : config_.settings.classes)
+    longest = std::max(longest, span_from_module(cls.deadline));
+  shutdown_times_ = decide::shutdown_times(longest);
+  shut_down();
 }
 
-void App::stop_when_idle() {
-  // A successor that is ready takes what waits at the socket; without one we serve it still.
-  if (siblings_ && siblings_->another_is_ready()) {
-    if (frames_) frames_->accept_clients(false);
-    if (mysql_) mysql_->leave();
-  }
-  const bool receiving = frames_ && loop_.now() - drained_at_ < kPiecesEnd && frames_->is_receiving();
-  const bool idle = !receiving && core_.open_requests() == 0 && (!frames_ || frames_->is_flushed()) &&
-                    (!mysql_ || mysql_->is_flushed());
-  if (idle && loop_.now() >= stop_from_) {
+bool App::is_taking_in() const {
+  return (frames_ && (frames_->is_receiving() || !frames_->is_flushed())) ||
+         (mysql_ && !mysql_->is_flushed());
+}
+
+void App::shut_down() {
+  decide::ShutdownState state;
+  state.since = loop_.now() - drained_at_;
+  state.opened = ready_;
+  state.door_is_shared = config_.passed_socket.has_value() || (config_.mysql && config_.mysql->passed_socket);
+  state.successor_ready = hot_restart_ && hot_restart_->another_is_ready();
+  state.ending = ending_;
+  state.taking_in = !ending_ && is_taking_in();
+  state.seen_all = std::exchange(looks_, false) && loop_.is_quiet();
+  state.has_connections = (frames_ && frames_->has_connections()) || (mysql_ && mysql_->has_connections());
+  state.open_requests = core_.open_requests();
+  if (state.open_requests > 0) last_open_ = loop_.now();
+  state.none_open_for = loop_.now() - last_open_;
+  const decide::ShutdownOrder order = decide::next_shutdown_step(shutdown_times_, state);
+  if (order.step == decide::ShutdownStep::kExit) {
     log_.line(Level::kNotice, "stop", "idle, so done", {});
     return loop_.stop();
   }
-  loop_.at(loop_.now() + std::chrono::milliseconds(20), [this] { stop_when_idle(); });
+  if (order.step == decide::ShutdownStep::kEndClients) {
+    ending_ = true;
+    log_.line(Level::kInfo, "stop", "ending clients", {{"open", std::to_string(state.open_requests)}});
+  }
+  if (ending_) {  // also those let in since
+    const Duration bound = decide::end_bound(shutdown_times_, state.since);
+    if (frames_) frames_->end_all(bound);
+    if (mysql_) mysql_->end_all(bound);
+  }
+  if (frames_) frames_->accept_clients(order.let_in);
+  if (mysql_ && state.successor_ready) mysql_->leave();
+  looks_ = order.step == decide::ShutdownStep::kLook;
+  loop_.at(loop_.now() + (looks_ ? Duration(0) : kLookAtShutdown), [this] { shut_down(); });
 }
 
 }  // namespace rookproxy
