Count a drain's grace from when its word may have been sent, not from when it was read

Cause: Dispatcher::close_engine took the moment at which a list was read. After questions that went unanswered the word may have been in an answer that was lost; the margin covers one such answer. A request that waited for its connection could leave up to the outage's length after the grace.

Change: learn_members takes DnsDirectory::told_since(); without it, now, as before. Ruled out: new sends to such an engine - the module sends none to one that drains.

Test: "drains: one that is heard late ends when it would have, had it been heard"; without the line in close_engine it fails for both outages.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -268,7 +268,9 @@
   } else {
     directory_ = std::make_unique<DnsDirectory>(
         loop_, log_, *config.nameserver, config.service, config.directory_poll, config.known_offset,
-        config.seed, [this](const std::vector<Member>& members) { core_.learn_members(members, false); });
+        config.seed, [this](const std::vector<Member>& members) {
+          core_.learn_members(members, false, directory_->told_since());
+        });
   }
 }
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -182,7 +182,8 @@
   push(lemonshift::RequestDropped{key});
 }
 
-void Dispatcher::learn_members(const std::vector<Member>& members, bool remembered) {
+void Dispatcher::learn_members(const std::vector<Member>& members, bool remembered,
+                               std::optional<Time> told) {
   lemonshift::EngineList list;
   list.kind = remembered ? lemonshift::ListKind::kRemembered : lemonshift::ListKind::kWhole;
   std::vector<bool> named(engines_.size(), false);
@@ -197,7 +198,7 @@
     named[id] = true;
     // Told that it drains or is gone: the grace counts from the first such word, not from the latest.
     const bool was_closed = !fresh && engine.told.state != EngineState::kServing;
-    if (member.state != EngineState::kServing && !was_closed) close_engine(id);
+    if (member.state != EngineState::kServing && !was_closed) close_engine(id, told.value_or(loop_.now()));
     // A new start at the same address is another process: what was open to the former one is dead.
     const bool moved = fresh || engine.told.address != member.address ||
                        engine.told.started != member.started || engine.told.state == EngineState::kGone;
@@ -209,7 +210,7 @@
   for (EngineId id = 0; id < engines_.size(); ++id) {
     Engine& engine = engines_[id];
     if (named[id] || engine.told.state == EngineState::kGone) continue;
-    if (engine.told.state == EngineState::kServing) close_engine(id);
+    if (engine.told.state == EngineState::kServing) close_engine(id, told.value_or(loop_.now()));
     engine.told.state = EngineState::kGone;
     links_->engine_closed(id);
   }
@@ -233,8 +234,8 @@
   return entry;
 }
 
-void Dispatcher::close_engine(EngineId id) {
-  engines_[id].closed_at = loop_.now();
+void Dispatcher::close_engine(EngineId id, Time told) {
+  engines_[id].closed_at = told;
   watch_drain(id);
 }
 
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -66,7 +66,9 @@
   void share(std::size_t parts);
 
   // ---- from a directory
-  void learn_members(const std::vector<Member>& members, bool remembered);
+  // `told`: since when its news may count as told; now, if nothing is said.
+  void learn_members(const std::vector<Member>& members, bool remembered,
+                     std::optional<Time> told = std::nullopt);
 
   // ---- from links
   bool may_begin(AttemptKey key) override;
@@ -107,7 +109,7 @@
 
   void bind(const lemonshift::Settings& fresh);
   lemonshift::EngineEntry entry_of(EngineId id) const;
-  void close_engine(EngineId id);
+  void close_engine(EngineId id, Time told);
   void watch_drain(EngineId id);
   Time drain_limit(Time told) const;
   void push(lemonshift::Event event);
--- a/tests/dispatch/deployments.cpp
+++ b/tests/dispatch/deployments.cpp
@@ -325,8 +325,8 @@
     core.use(*this);
     loop.each_turn([this] { core.settle(); });
   }
-  void list(lemonshift::EngineState a) {
-    core.learn_members({{"a", {0x7f000001, 1}, a, "addis-dc1", "engine-a", 0, 1, std::nullopt}}, false);
+  void list(lemonshift::EngineState a, std::optional<Time> told = std::nullopt) {
+    core.learn_members({{"a", {0x7f000001, 1}, a, "addis-dc1", "engine-a", 0, 1, std::nullopt}}, false, told);
     core.settle();
   }
   void run_to(Time end) {
@@ -370,6 +370,20 @@
   }
 }
 
+TEST_CASE("drains: one that is heard late ends when it would have, had it been heard") {
+  // Guards against a request that waits for its connection and leaves a whole grace after the word, when the
+  // answer that held the word was lost.
+  for (const Duration late : {Duration(500ms), Duration(5s)}) {
+    Core bench(settings_with_grace(1s));
+    bench.list(lemonshift::EngineState::kServing);
+    const Time heard = bench.loop.now();
+    bench.list(lemonshift::EngineState::kDraining, heard - late);
+    bench.run_to(heard + 1s);
+    REQUIRE(bench.closed.size() == 1);
+    CHECK((bench.closed[0] < heard + 650ms));  // a whole grace from the word on, less the margin: 750 ms
+  }
+}
+
 TEST_CASE("drains: a grace that a change of settings makes shorter holds for drains under way") {
   Core bench(settings_with_grace(60s));
   bench.list(lemonshift::EngineState::kServing);
