--- a/src/link/pool.h
+++ b/src/link/pool.h
@@ -103,6 +103,8 @@
   void engine_closed(EngineId engine) override;
   // Other limits from now on; what is open beyond them is left to end.
   void change(const PoolLimits& limits) { limits_ = limits; }
+  // What was handed over and has neither ended nor been taken back.
+  std::size_t attempts_carried() const { return carried_by_.size(); }
 
  protected:
   friend class LinkConnection;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -43,10 +43,10 @@
 }
 
 void Loop::run() {
-  while (!stopped_) turn();
+  while (!stopped_) turn(true);
 }
 
-void Loop::run_timers() {
+bool Loop::run_timers() {
   // Only those due at the turn's time and set before this turn's timers began: one set meanwhile at a time
   // already past (a wake the module asks for at once, say) waits for the next turn, which waits for nothing.
   // Else a timer that sets itself again holds the turn, with its clock, for ever.
@@ -57,6 +57,7 @@
     auto node = timers_.extract(key);
     if (!node.empty()) node.mapped()();  // empty: cancelled by one before it
   }
+  return !due.empty();
 }
 
 void Loop::run_deferred() {
@@ -67,9 +68,9 @@
   }
 }
 
-void Loop::turn() {
+bool Loop::turn(bool may_wait) {
   int wait_ms = -1;
-  if (!again_.empty()) {
+  if (!may_wait || !again_.empty()) {
     wait_ms = 0;
   } else if (!timers_.empty()) {
     const Time now = wall_now();
@@ -94,10 +95,11 @@
     // Found anew for each event: one before it in this turn may have closed this one and reused its slot.
     if (Watcher** watcher = watchers_.find(key)) (*watcher)->on_ready(what);
   }
-  run_timers();
+  const bool fired = run_timers();
   run_deferred();
   if (each_turn_) each_turn_();
   run_deferred();
+  return fired || !ready.empty();
 }
 
 }  // namespace rookproxy
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -50,10 +50,14 @@
   Time now() const { return now_; }
   void run();
   void stop() { stopped_ = true; }
+  // One turn that waits for nothing, for who turns the loop by hand; false if there was nothing to do.
+  bool poll() { return turn(false); }
+  // When the first timer is due; Time::max() if there is none.
+  Time next_timer() const { return timers_.empty() ? Time::max() : timers_.begin()->first.first; }
 
  private:
-  void turn();
-  void run_timers();
+  bool turn(bool may_wait);
+  bool run_timers();
   void run_deferred();
 
   Fd epoll_;
