FAILS: clients that end while something holds their requests, and orders whose time is over

Four loops that show real faults on this version; nothing in them is eased.

FramesFront::Connection::take drops all but requests when dead_, so the request is tried again for somebody who has gone (front/frames.cpp). While reading is held (Stream::hold_reading, from FramesFront::Connection::write) read_some reads nothing, so neither the end nor the type 8 is seen; a reset is, by the next write (net/stream.cpp). Dispatcher::asker_gone leaves it to the module whether an order that has not begun is taken back, and Router's cancel does nothing without may_cancel; the order begins when the engine reads on.

--- a/tests/dispatch/moments.cpp
+++ b/tests/dispatch/moments.cpp
@@ -1,6 +1,8 @@
 // Faults at every point: answers cut after each byte, clients that end at each step of a request's life,
 // drains told at each step of an attempt's.
 #include <catch2/catch.hpp>
+#include <memory>
+#include <thread>
 
 #include "moments_world.h"
 
@@ -117,6 +119,8 @@
 };
 const char* const kSteps[] = {"connected", "part",  "arriving", "placed", "dialling",     "between",
                               "written",   "noted", "half",     "whole",  "before whole", "answered"};
+enum class Company { kAlone, kOthers, kDead };
+const char* const kCompanies[] = {"alone", "with others", "dead"};
 
 // The engine's answer to it, in part or whole; nothing moves after it.
 void half_answer(World& world, std::size_t attempt) {
@@ -184,6 +188,127 @@
 
 }  // namespace
 
+TEST_CASE("moments: a client ends at each step of its request's life") {
+  HandClock clock;
+  Report report;
+  const auto point = [&](const Setup& setup, const char* cls, Step step, End how, Company company,
+                         std::size_t part) {
+    World world(clock, setup);
+    const std::size_t client = world.connect();
+    if (company == Company::kOthers) {
+      for (int i = 0; i < 3; ++i) world.ask(client, "safe");
+      if (step != Step::kDialling) world.settle();
+    }
+    const std::size_t request = world.make(client, cls);
+    bring(world, step, client, request, part, company == Company::kDead,
+          [&] { world.end(client, how, request); });
+    world.settle();
+    report.add(world, Point(kSteps[static_cast<int>(step)], part, cls, name_of(how),
+                            kCompanies[static_cast<int>(company)], setup.may_cancel ? "" : "no STOP"));
+  };
+  World any(clock);
+  const std::size_t frame = any.frame(any.make(any.connect(), "safe")).size();
+  for (const Company company : {Company::kAlone, Company::kOthers, Company::kDead}) {
+    for (const End how : {End::kClose, End::kReset, End::kHalfClose, End::kAbandon}) {
+      for (const char* cls : kClasses) {
+        for (int step = static_cast<int>(Step::kArriving); step <= static_cast<int>(Step::kAnswered);
+             ++step) {
+          for (const bool may_cancel : {true, false}) {
+            Setup setup;
+            setup.may_cancel = may_cancel;
+            point(setup, cls, static_cast<Step>(step), how, company, 0);
+          }
+        }
+      }
+      point({}, "safe", Step::kConnected, how, company, 0);
+      for (std::size_t part = 1; how != End::kAbandon && part < frame; ++part)
+        point({}, "safe", Step::kPart, how, company, part);
+    }
+  }
+  WARN(report.points << " points");
+  CHECK(report.text() == "");
+}
+
+TEST_CASE("moments: a client that takes no answers ends while others of its requests are out") {
+  HandClock clock;
+  Report report;
+  for (const End how : {End::kClose, End::kReset, End::kHalfClose, End::kAbandon}) {
+    for (const char* cls : kClasses) {
+      Setup setup;
+      setup.deaf = true;
+      World world(clock, setup);
+      world.filler = std::string(40'000, 'x');
+      const std::size_t client = world.connect();
+      for (int i = 0; i < 4; ++i) world.ask(client, "safe");
+      const std::size_t request = world.ask(client, cls);
+      world.settle();
+      world.clients[client].reads = false;
+      for (std::size_t i = 0; i < world.seen.size(); ++i) {
+        if (world.seen[i].id != world.requests[request].call) world.serve(i);
+      }
+      world.settle();
+      world.end(client, how, request);
+      world.settle();
+      report.add(world, Point(cls, name_of(how)));
+    }
+  }
+  CHECK(report.text() == "");
+}
+
+// ---- orders that wait behind bytes an engine does not take
+// ----------------------------------------------------
+
+// Requests of a quarter of a megabyte: more together than the kernel keeps for one connection.
+constexpr int kBulky = 18;
+
+TEST_CASE("moments: an order waits behind what its engine does not read") {
+  HandClock clock;
+  Report report;
+  const auto point = [&](const Setup& setup, const char* cls, const std::string& event, End how,
+                         Duration ttl) {
+    World world(clock, setup);
+    for (std::size_t i = 1; i < 4; ++i) world.tell(i, lemonshift::EngineState::kGone);
+    Engine& engine = world.engines[0];
+    const int small = 4096;
+    ::setsockopt(engine.listener.get(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    engine.reads = false;
+    const std::size_t other = world.connect(), client = world.connect();
+    world.statement += std::string(250'000, ' ');
+    for (int i = 0; i < kBulky; ++i) {
+      world.requests[world.ask(other, "safe", 900ms)].unread = true;
+      world.settle();
+    }
+    world.statement.resize(19);
+    const std::size_t request = world.ask(client, cls, ttl);
+    world.settle();
+    if (world.attempts_written() >= kBulky) throw std::runtime_error("the kernel took them all");
+    if (event == "gone") world.end(client, how, request);
+    if (event == "cut") {
+      world.pass(30ms);
+      for (std::size_t i = 0; i < engine.links.size(); ++i) engine.end(i, how);
+    }
+    if (event == "drain") world.tell(0, lemonshift::EngineState::kDraining);
+    report.add(world, Point(event, cls, name_of(how), setup.may_cancel ? "" : "no STOP"));
+  };
+  for (const char* cls : kClasses) {
+    if (std::string(cls) == "unsafe") continue;  // gets a connection of its own, and leaves at once
+    for (const bool may_cancel : {true, false}) {
+      Setup setup;
+      setup.may_cancel = may_cancel;
+      setup.spread = 32;
+      setup.grace = 120ms;
+      for (const End how : {End::kClose, End::kReset, End::kHalfClose, End::kAbandon}) {
+        point(setup, cls, "gone", how, 1000ms);
+      }
+      for (const End how : {End::kClose, End::kReset}) point(setup, cls, "cut", how, 1000ms);
+      point(setup, cls, "drain", End::kSilent, 1000ms);
+      point(setup, cls, "deadline", End::kSilent, 140ms);
+    }
+  }
+  WARN(report.points << " points");
+  CHECK(report.text() == "");
+}
+
 // ---- connections that end, come late or say too much
 // ---------------------------------------------------------
 
@@ -264,6 +389,77 @@
   CHECK(report.text() == "");
 }
 
+// The kernel asks again for a connection a second after it was dropped. The hand clock stands meanwhile; all
+// worlds wait that second together.
+TEST_CASE("moments: a connection comes up when its order's time is over") {
+  HandClock clock;
+  Report report;
+  struct Late {
+    std::unique_ptr<World> world;
+    std::string point;
+    std::function<void()> then;
+  };
+  std::vector<Late> all;
+  Setup setup;
+  setup.dial_timeout = 5s;
+  const auto add = [&](const Setup& with, const std::string& point) -> World& {
+    all.push_back({std::make_unique<World>(clock, with), point, [] {}});
+    return *all.back().world;
+  };
+  for (const char* cls : kClasses) {
+    for (const bool may_cancel : {true, false}) {
+      for (const End how : {End::kClose, End::kReset, End::kHalfClose, End::kAbandon}) {
+        setup.may_cancel = may_cancel;
+        World& world = add(setup, Point("gone", cls, name_of(how), may_cancel ? "" : "no STOP"));
+        for (Engine& engine : world.engines) engine.fill();
+        const std::size_t client = world.connect(), request = world.ask(client, cls);
+        all.back().then = [&world, client, request, how] { world.end(client, how, request); };
+      }
+    }
+    setup.may_cancel = true;
+    World& late = add(setup, Point("deadline", cls));
+    for (Engine& engine : late.engines) engine.fill();
+    late.ask(late.connect(), cls, 140ms);
+    for (const auto state : {lemonshift::EngineState::kDraining, lemonshift::EngineState::kGone}) {
+      Setup brief = setup;
+      brief.grace = 120ms;
+      World& world = add(brief, Point("drain", cls, static_cast<int>(state)));
+      for (Engine& engine : world.engines) engine.fill();
+      world.ask(world.connect(), cls);
+      all.back().then = [&world, state] {
+        for (std::size_t i = 0; i < 4; ++i) world.tell(i, state);
+      };
+    }
+    // A second attempt, behind one that may have run: its window ends while it dials.
+    World& second = add(setup, Point("window", cls));
+    const std::size_t request = second.ask(second.connect(), cls);
+    second.settle();
+    const std::size_t attempt = second.attempt_of(request);
+    if (attempt == SIZE_MAX) throw std::runtime_error("no attempt");
+    for (Engine& engine : second.engines) engine.fill();
+    all.back().then = [&second, attempt] { second.cut(attempt, End::kReset); };
+  }
+  std::vector<World*> worlds;
+  for (Late& late : all) worlds.push_back(late.world.get());
+  for (World* world : worlds) world->settle();
+  for (Late& late : all) late.then();
+  World::pass(clock, worlds, 160ms);
+  for (World* world : worlds) {
+    for (Engine& engine : world->engines) engine.let();
+  }
+  const auto until = std::chrono::steady_clock::now() + 1500ms;
+  while (std::chrono::steady_clock::now() < until) {
+    for (World* world : worlds) world->settle();
+    std::this_thread::sleep_for(10ms);
+  }
+  for (Late& late : all) {
+    report.add(*late.world, late.point);
+    late.world.reset();
+  }
+  WARN(report.points << " points");
+  CHECK(report.text() == "");
+}
+
 // ---- drains and removals, told at each step of an attempt's life
 // ----------------------------------------------
 
