Keep cold engines under the sum where estimates are at half or they warm late

Causes: `kColdMargin` 0.7 lets twice the estimate come to 1.4 N; `cold_allows` lets one query take 0.4 of what the engine would do if it had grown by the square of its age, which nobody promises.

The margin is 0.5 (and the turns' 0.5 of the multiple), so twice the estimate is N; one query takes at most 0.3 of what the engine could do at its beginning.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -49,11 +49,11 @@
 constexpr double kLookBelow = 1, kLookPrice = 0.02;  // no probe beyond: own queries at an engine, price
 constexpr std::size_t kLookAt = 2, kLookPaging = 3;  // engines asked for a query; where engines page
 // ---- guards ----
-constexpr double kColdMargin = 0.7;  // share of our part of a cold engine's allowance that we use
+constexpr double kColdMargin = 0.5;  // of our part of a cold engine's allowance: estimates may be at half
 constexpr double kColdShares = 2, kColdMost = 1.2;  // a part of fewer queries is dealt out in turns, ...
 constexpr double kColdUntold = 3;       // times its mean that one may take whose work nothing tells
-constexpr double kColdTurns = 0.55;     // ... this share of the allowance, at most so much of its capacity
-constexpr double kColdPiece = 0.4;      // share of the fleet's allowance in a span that one query may take
+constexpr double kColdTurns = 0.5;      // ... this share of the allowance, at most so much of its capacity
+constexpr double kColdPiece = 0.3;      // share of the fleet's allowance in a span that one query may take
 constexpr double kCapacityBusy = 0.85;  // an engine's capacity, as busy share of its cores
 constexpr Time kTick = 20'000, kLookOver = 200'000;  // requests, the fleet's means are looked at this often
 constexpr Time kStalled = 150'000;  // a timer of ours this late: we stood still, not the engines
@@ -465,7 +465,7 @@
       return sum <= cold_budget(e);
     }
     const double span = static_cast<double>(s_.cold->span), capacity = kCapacityBusy * e.cores;
-    const double most = s_.cold->multiple * capacity_share(e) * capacity * span;
+    const double most = s_.cold->multiple * s_.cold->from * capacity * span;  // may stay as it began
     if (!e.cold_sent.empty() || work > kColdPiece * most) return false;
     const double use = std::min(kColdTurns * s_.cold->multiple, kColdMost) * capacity / classes_.size();
     const double age = static_cast<double>(now_ - e.cold_since);  // over it, the mean of the share so far:
--- a/tests/cold_sum_test.cpp
+++ b/tests/cold_sum_test.cpp
@@ -271,6 +271,8 @@
 void few(Case& c) { c.warm = 1, c.busy = 1.5, c.anew_at = kSecond; }
 void in_two(Case& c) { c.parts = 2; }
 void six(Case& c) { c.starting = 6, c.busy = 1.2; }
+void half(Case& c) { c.estimates = 0.5; }
+void warm_last(Case& c) { c.warms_last = true; }
 
 TEST(ColdSum, WithTrafficUnevenAndListsSeenSecondsApart) {
   hold_all({{"some carry seven times the mean", {[](Case& c) { c.busy_ones = 7; }}},
@@ -336,6 +338,19 @@
   }
 }
 
+TEST(ColdSum, WhereEstimatesAreAtHalf) {
+  hold_all({{"light work, estimates at half", {light, half}},
+            {"estimates at half, refused at once", {light, half, refusing}},
+            {"begin anew, estimates at half", {light, half, anew}}});
+}
+
+TEST(ColdSum, WhereAColdEngineStaysAsItBeganUntilItIsWarm) {
+  hold_all({{"warm at its end only", {warm_last}},
+            {"warm at its end only, light work", {warm_last, light}},
+            {"warm at its end only, refused at once", {warm_last, light, refusing}},
+            {"warm at its end only, six", {warm_last, six}, true}});
+}
+
 // Where no estimate comes, one heavy query of a rare class whose mean is not learnt yet took the whole bound.
 TEST(ColdSum, WhereNoEstimatesComeAndARareClassIsHeavy) {
   Case a{.name = "60 routers",
