Ration cold engines by what answers took where nothing tells the work

Cause: `cold_allows` and `send` weigh an untold request by `mean_work`, which starts at a third of the aim and rises by 8% an answer (1.6% where answers are late): a guess that is six times too low takes some twenty answers in time, or over a hundred late ones.

The mean of latency times threads is kept beside it, which holds the work; the larger of the two rations cold engines. Nothing else reads it.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -374,7 +374,7 @@
     count(e, r, r.attempts.back(), 1);
     auto& g = group(e, r.group);
     ++(c.is_load ? g.loads : g.readers);
-    if (is_cold(e)) e.cold_sent.emplace_back(now_, std::max(classes_[r.cls].mean_work, r.work));
+    if (is_cold(e)) e.cold_sent.emplace_back(now_, std::max(classes_[r.cls].at_most(), r.work));
     if (!c.is_load) move_mean(e, g);  // a load's engine is no home for its readers
   }
 
@@ -458,7 +458,7 @@
   bool cold_allows(Engine& e, const Request& r) const {
     if (!is_cold(e)) return true;
     while (!e.cold_sent.empty() && e.cold_sent.front().first <= now_ - s_.cold->span) e.cold_sent.pop_front();
-    const double mean = classes_[r.cls].mean_work, work = std::max(mean, r.work) * (r.told ? 1 : kColdUntold);
+    const double mean = classes_[r.cls].at_most(), work = std::max(mean, r.work) * (r.told ? 1 : kColdUntold);
     if (cold_budget(e) >= kColdShares * mean) {
       double sum = work;
       for (const auto& [at, weight] : e.cold_sent) sum += weight;
@@ -906,8 +906,10 @@
     // Where nothing tells a class's work, the median of its latencies stands for the mean of its work: work
     // is skewed, its median under its mean by about as much as sharing an engine takes.
     if (!ended.work && !r.told) {
+      const double took = static_cast<double>(ended.latency) * cls(r).threads;
+      k.took += (took - k.took) * std::max(kLearn, 1 / ++k.timed);
       const double step = open_ >= 1 ? kWorkStep : kWorkStep / 5;  // late answers tell of engines, not work
-      k.mean_work *= static_cast<double>(ended.latency) * cls(r).threads > k.mean_work ? 1 + step : 1 - step;
+      k.mean_work *= took > k.mean_work ? 1 + step : 1 - step;
     }
     if (ended.work && r.work > 0) {
       const double off = std::clamp(*ended.work / r.work, 0.2, 2.0);
--- a/src/logic/state.h
+++ b/src/logic/state.h
@@ -96,7 +96,9 @@
   double stretch = 1.5;            // latency over work per thread
   double grant = 1;                // memory granted over the estimate
   double note_pace = 1;            // progress made per expected progress, from notes
+  double timed = 0, took = 0;      // answers that tell of its work by their latency alone; their running mean
   Time patience = 0;               // of its clients, the longest of late
+  double at_most() const { return std::max(mean_work, took); }  // the mean may be a guess still
 };
 
 struct Tenant {
--- a/tests/cold_sum_test.cpp
+++ b/tests/cold_sum_test.cpp
@@ -272,6 +272,8 @@
 void in_two(Case& c) { c.parts = 2; }
 void six(Case& c) { c.starting = 6, c.busy = 1.2; }
 void half(Case& c) { c.estimates = 0.5; }
+void none(Case& c) { c.estimates = 0; }
+void over_aim(Case& c) { c.aims_ms = {60, 300, 500}; }
 void warm_last(Case& c) { c.warms_last = true; }
 
 TEST(ColdSum, WithTrafficUnevenAndListsSeenSecondsApart) {
@@ -338,10 +340,15 @@
   }
 }
 
-TEST(ColdSum, WhereEstimatesAreAtHalf) {
+TEST(ColdSum, WhereEstimatesAreAtHalfOrNoneCome) {
   hold_all({{"light work, estimates at half", {light, half}},
             {"estimates at half, refused at once", {light, half, refusing}},
-            {"begin anew, estimates at half", {light, half, anew}}});
+            {"begin anew, estimates at half", {light, half, anew}},
+            {"light work, no estimates", {light, none}},
+            {"no estimates, refused at once", {light, none, refusing}},
+            {"begin anew, no estimates", {light, none, anew}},
+            {"no estimates, work over its aim", {none, over_aim}},
+            {"begin anew, no estimates, over its aim", {none, over_aim, anew}, true}});
 }
 
 TEST(ColdSum, WhereAColdEngineStaysAsItBeganUntilItIsWarm) {
