--- a/src/standins/lines_engine.cpp
+++ b/src/standins/lines_engine.cpp
@@ -47,6 +47,7 @@
       if (owner_.engine_.keep_) {
         const std::lock_guard lock(owner_.engine_.mutex_);
         ++owner_.engine_.statements_[std::string(bytes.substr(body_at, body))];
+        owner_.engine_.arrivals_.push_back(std::chrono::steady_clock::now());
       }
       ++owner_.engine_.answered_;
       stream_.write(std::string(id) + " data parts=1 6\r\na\tb\tc\n\r\n");
@@ -84,6 +85,11 @@
   loop.run();
 }
 
+std::vector<std::chrono::steady_clock::time_point> LinesEngine::arrivals() {
+  const std::lock_guard lock(mutex_);
+  return arrivals_;
+}
+
 std::uint64_t LinesEngine::seen(const std::string& text) {
   const std::lock_guard lock(mutex_);
   std::uint64_t sum = 0;
--- a/src/standins/lines_engine.h
+++ b/src/standins/lines_engine.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace rookproxy::test {
 
@@ -19,7 +21,9 @@
   std::uint64_t answered() const { return answered_; }
   // How many statements that reached it hold this text.
   std::uint64_t seen(const std::string& text);
-  // From now on the statements are kept, each with its count.
+  // When each statement reached it.
+  std::vector<std::chrono::steady_clock::time_point> arrivals();
+  // From now on the statements are kept, each with its count, and when they came.
   void keep_statements() { keep_ = true; }
 
  private:
@@ -30,6 +34,7 @@
   std::atomic<std::uint64_t> answered_{0};
   std::mutex mutex_;
   std::map<std::string, std::uint64_t> statements_;
+  std::vector<std::chrono::steady_clock::time_point> arrivals_;
   std::atomic<bool> started_{false};
   std::thread thread_;
 };
