Hold a class whose work nothing told to its whole aim at cold engines until an answer

The mean that rations cold engines starts at the class's aim, as if the work took all of it, until the first answer replaces it or an estimate comes.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -127,7 +127,8 @@
 
   static ClassState untried(const ClassSettings& c) {
     return {.mean_work = std::max(1000.0, static_cast<double>(c.aim)) / kAimOverRun * c.threads,
-            .grant = kGrantStart};
+            .grant = kGrantStart,
+            .took = static_cast<double>(c.aim) * c.threads};
   }
   void share_out() {
     gateways_ = s_.routers, tenant_share_ = 1 / gateways_;
@@ -764,7 +765,7 @@
     r.arrived = stalled_ ? std::min(now_, a.give_up_at - k.patience) : now_;
     r.told = a.work.has_value();
     r.work = a.work ? *a.work * k.bias : k.mean_work;
-    if (a.work) k.mean_work += kLearn * (std::min(r.work, 20 * k.mean_work) - k.mean_work);
+    if (a.work) k.mean_work += kLearn * (std::min(r.work, 20 * k.mean_work) - k.mean_work), k.took = 0;
     r.aim_at = std::min(r.give_up_at, r.arrived + c.aim + static_cast<Time>(c.aim_stretch * run_time(r)));
     r.worth = c.worth * (within_share(a.tenant) ? 1 : s_.over_share_worth);
     know_mix(r);
