--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -10,7 +10,7 @@
 
 #include "lemonshift/router.h"
 #include "logic/hash.h"
-#include "logic/homes.h"
+#include "logic/placement.h"
 #include "logic/settings_check.h"
 #include "logic/state.h"
 
@@ -185,7 +185,7 @@
   // have one home each. A load keeps off its readers' homes, and draws an engine by itself, or all gateways'
   // loads of a group would meet where the hash has it last.
   double distance(const Engine& e, const Request& r, double own_mean) const {
-    const double agreed = e.told.id == r.home ? 1 : homes_.part(e.told.id, r.group) / 2;
+    const double agreed = e.told.id == r.home ? 1 : placement_.part(e.told.id, r.group) / 2;
     const double mean = own_part_ * own_mean + (1 - own_part_) * agreed;
     const double norm2 = own_part_ * e.norm2 + (1 - own_part_) * kAgreedNorm;
     return std::sqrt(std::max(0.0, norm2 - 2 * mean + 1));
@@ -645,16 +645,16 @@
     return sum - std::floor(sum);
   }
 
-  void plan_homes() {
-    std::vector<Homes::Room> rooms;
+  void plan_placement() {
+    std::vector<Placement::Room> rooms;
     for (const auto& [id, e] : engines_) {
       if (serves(e)) rooms.push_back({id, e.hash, e.cores * capacity_share(e)});
     }
-    homes_.plan(rooms, now_);
+    placement_.plan(rooms, now_);
   }
 
   void look_over_fleet() {
-    if (homes_.stale(now_)) plan_homes();
+    if (placement_.stale(now_)) plan_placement();
     std::vector<double> paces;
     double cores = 0, warm = 0, own = 0;
     std::size_t bad = 0;
@@ -738,7 +738,7 @@
     std::erase_if(engines_, [this](auto& one) {  // a cold one's budget is remembered
       return one.second.told.state == EngineState::kGone && one.second.out == 0 && !is_cold(one.second);
     });
-    plan_homes();
+    plan_placement();
     look_over_fleet();
   }
 
@@ -777,9 +777,9 @@
     }
     if (c.ordered && r.key != 0) keys_[r.key].line.push_back(&r);
     actions_->push_back(Wake{r.give_up_at, kFirstRequestToken + r.id});
-    homes_.ask(r.group, classes_[r.cls].mean_work, now_);
-    if (homes_.lacks(r.group, now_)) plan_homes();
-    r.home = c.is_load ? kNoHome : homes_.draw(r.group, draw(r));
+    placement_.ask(r.group, classes_[r.cls].mean_work, now_);
+    if (placement_.lacks(r.group, now_)) plan_placement();
+    r.home = c.is_load ? kNoHome : placement_.draw(r.group, draw(r));
     shed(r);  // a client's late further try may have no time left
     if (!r.over) place(r);
   }
@@ -1043,7 +1043,7 @@
   std::vector<Action>* actions_ = nullptr;
   std::map<EngineId, Engine> engines_;
   std::map<RequestId, Request> requests_;
-  Homes homes_;
+  Placement placement_;
   std::vector<ClassState> classes_;
   std::map<std::uint32_t, Tenant> tenants_;
   double gateways_ = 1, tenant_share_ = 1;  // like us that would carry all; our part of a tenant's quota
--- a/src/logic/homes.cpp
+++ b/src/logic/placement.cpp
@@ -1,5 +1,5 @@
-// Decides the homes of groups; see homes.h.
-#include "logic/homes.h"
+// Decides the homes of groups; see placement.h.
+#include "logic/placement.h"
 
 #include <algorithm>
 #include <cmath>
@@ -16,13 +16,13 @@
 }
 }  // namespace
 
-void Homes::ask(std::uint64_t group, double work, Time now) {
+void Placement::ask(std::uint64_t group, double work, Time now) {
   if (asked_.size() >= 2 * kMostGroups && !asked_.contains(group)) return;  // until the next plan
   auto& asked = asked_[group];
   asked = {faded(asked, now) + work, now};
 }
 
-void Homes::plan(const std::vector<Room>& rooms, Time now) {
+void Placement::plan(const std::vector<Room>& rooms, Time now) {
   planned_at_ = now;
   parts_.clear();
   std::vector<std::pair<double, std::uint64_t>> groups;
@@ -52,7 +52,7 @@
   }
 }
 
-EngineId Homes::draw(std::uint64_t group, double draw) const {
+EngineId Placement::draw(std::uint64_t group, double draw) const {
   const auto found = parts_.find(group);
   if (found == parts_.end()) return kNoHome;
   for (const auto& part : found->second) {
@@ -61,7 +61,7 @@
   return found->second.back().engine;
 }
 
-double Homes::part(EngineId engine, std::uint64_t group) const {
+double Placement::part(EngineId engine, std::uint64_t group) const {
   const auto found = parts_.find(group);
   if (found == parts_.end()) return 0;
   for (const auto& part : found->second) {
--- a/src/logic/homes.h
+++ b/src/logic/placement.h
@@ -19,7 +19,7 @@
 
 constexpr EngineId kNoHome = std::numeric_limits<EngineId>::max();
 
-class Homes {
+class Placement {
  public:
   struct Room {
     EngineId engine = 0;
--- a/tests/homes_test.cpp
+++ b/tests/placement_test.cpp
@@ -1,5 +1,5 @@
-// Homes of table groups: even for each gateway's own traffic, and nearly the same at all.
-#include "logic/homes.h"
+// Placement of table groups: even for each gateway's own traffic, and nearly the same at all.
+#include "logic/placement.h"
 
 #include <gtest/gtest.h>
 
@@ -11,44 +11,44 @@
 namespace lemonshift {
 namespace {
 
-std::vector<Homes::Room> rooms(EngineId n, double capacity = 8) {
-  std::vector<Homes::Room> all;
+std::vector<Placement::Room> rooms(EngineId n, double capacity = 8) {
+  std::vector<Placement::Room> all;
   for (EngineId i = 0; i < n; ++i) all.push_back({i, hash_text("engine-" + std::to_string(i)), capacity});
   return all;
 }
 
 // What of all traffic goes to each engine, by shares of the groups.
-std::map<EngineId, double> spread(const Homes& homes, const std::map<std::uint64_t, double>& shares) {
+std::map<EngineId, double> spread(const Placement& placement, const std::map<std::uint64_t, double>& shares) {
   std::map<EngineId, double> at;
   constexpr int kDraws = 2000;
   for (const auto& [group, share] : shares) {
-    for (int i = 0; i < kDraws; ++i) at[homes.draw(group, (i + 0.5) / kDraws)] += share / kDraws;
+    for (int i = 0; i < kDraws; ++i) at[placement.draw(group, (i + 0.5) / kDraws)] += share / kDraws;
   }
   return at;
 }
 
-TEST(Homes, EachEngineGetsWhatItsCapacitySays) {
+TEST(Placement, EachEngineGetsWhatItsCapacitySays) {
   const std::map<std::uint64_t, double> shares = {{7, 0.4}, {8, 0.3}, {9, 0.2}, {10, 0.1}};
-  Homes homes;
-  for (const auto& [group, share] : shares) homes.ask(group, share, 0);
+  Placement placement;
+  for (const auto& [group, share] : shares) placement.ask(group, share, 0);
   auto some = rooms(30);
   some[3].capacity = 2;  // has just started
-  homes.plan(some, 0);
-  const auto at = spread(homes, shares);
+  placement.plan(some, 0);
+  const auto at = spread(placement, shares);
   ASSERT_EQ(at.size(), 30u);
   for (const auto& [engine, share] : at)
     EXPECT_NEAR(share, engine == 3 ? 2 / 234.0 : 8 / 234.0, 0.004) << engine;
   for (const auto& room : some) {
     double whole = 0;
-    for (const auto& [group, share] : shares) whole += homes.part(room.engine, group);
+    for (const auto& [group, share] : shares) whole += placement.part(room.engine, group);
     EXPECT_NEAR(whole, 1, 1e-9);
   }
 }
 
-TEST(Homes, PicturesThatDifferAgreeOnNearlyAllHomes) {
+TEST(Placement, PicturesThatDifferAgreeOnNearlyAllHomes) {
   double same = 0, all = 0;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    Homes one, other;
+    Placement one, other;
     for (std::uint64_t group = 0; group < 9; ++group) {
       const auto of = [&](std::uint64_t who) {
         return 0.08 + 0.06 * unit(mix(seed * 100 + group * 2 + who));
@@ -66,39 +66,39 @@
   EXPECT_GT(same / all, 0.75);
 }
 
-TEST(Homes, WhatIsNoLongerAskedForGivesItsRoomBack) {
-  Homes homes;
-  homes.ask(1, 100, 0), homes.ask(2, 100, 0);
-  homes.plan(rooms(10), 0);
+TEST(Placement, WhatIsNoLongerAskedForGivesItsRoomBack) {
+  Placement placement;
+  placement.ask(1, 100, 0), placement.ask(2, 100, 0);
+  placement.plan(rooms(10), 0);
   const auto homes_of = [&](std::uint64_t group) {
     int n = 0;
-    for (EngineId e = 0; e < 10; ++e) n += homes.part(e, group) > 0.5;
+    for (EngineId e = 0; e < 10; ++e) n += placement.part(e, group) > 0.5;
     return n;
   };
   EXPECT_EQ(homes_of(1), 5);
-  homes.ask(1, 100, 60'000'000);
-  homes.plan(rooms(10), 60'000'000);
+  placement.ask(1, 100, 60'000'000);
+  placement.plan(rooms(10), 60'000'000);
   EXPECT_EQ(homes_of(1), 10);
 }
 
-TEST(Homes, NothingAskedNoEnginesAndCrowdsOfGroupsAreHarmless) {
-  Homes homes;
-  homes.plan({}, 0);
-  EXPECT_EQ(homes.draw(1, 0.5), kNoHome);
-  homes.ask(1, 1, 0);
-  homes.plan({}, 0);
-  homes.plan(rooms(3, 0), 0);  // no capacity at all
-  EXPECT_FALSE(homes.knows(1));
-  EXPECT_EQ(homes.draw(1, 0.5), kNoHome);
+TEST(Placement, NothingAskedNoEnginesAndCrowdsOfGroupsAreHarmless) {
+  Placement placement;
+  placement.plan({}, 0);
+  EXPECT_EQ(placement.draw(1, 0.5), kNoHome);
+  placement.ask(1, 1, 0);
+  placement.plan({}, 0);
+  placement.plan(rooms(3, 0), 0);  // no capacity at all
+  EXPECT_FALSE(placement.knows(1));
+  EXPECT_EQ(placement.draw(1, 0.5), kNoHome);
   for (std::uint64_t group = 0; group < 100'000; ++group) {
-    homes.ask(group, 1 + static_cast<double>(group == 77), static_cast<Time>(group));
-    if (homes.stale(static_cast<Time>(group))) homes.plan(rooms(3), static_cast<Time>(group));
+    placement.ask(group, 1 + static_cast<double>(group == 77), static_cast<Time>(group));
+    if (placement.stale(static_cast<Time>(group))) placement.plan(rooms(3), static_cast<Time>(group));
   }
-  homes.plan(rooms(3), 100'000);
+  placement.plan(rooms(3), 100'000);
   int known = 0;
-  for (std::uint64_t group = 0; group < 100'000; ++group) known += homes.knows(group);
+  for (std::uint64_t group = 0; group < 100'000; ++group) known += placement.knows(group);
   EXPECT_EQ(known, 256);  // a bound on memory, whatever clients name
-  EXPECT_TRUE(homes.knows(77));
+  EXPECT_TRUE(placement.knows(77));
 }
 
 }  // namespace
