--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -10,7 +10,7 @@
 
 #include "lemonshift/router.h"
 #include "logic/hash.h"
-#include "logic/homes.h"
+#include "logic/placement.h"
 #include "logic/settings_check.h"
 #include "logic/state.h"
 
@@ -49,11 +49,11 @@
 constexpr double kLookBelow = 1, kLookPrice = 0.02;  // no probe beyond: own queries at an engine, price
 constexpr std::size_t kLookAt = 2, kLookPaging = 3;  // engines asked for a query; where engines page
 // ---- guards ----
-constexpr double kColdMargin = 0.7;  // share of our part of a cold engine's allowance that we use
+constexpr double kColdMargin = 0.5;  // of our part of a cold engine's allowance: estimates may be at half
 constexpr double kColdShares = 2, kColdMost = 1.2;  // a part of fewer queries is dealt out in turns, ...
 constexpr double kColdUntold = 3;       // times its mean that one may take whose work nothing tells
-constexpr double kColdTurns = 0.55;     // ... this share of the allowance, at most so much of its capacity
-constexpr double kColdPiece = 0.4;      // share of the fleet's allowance in a span that one query may take
+constexpr double kColdTurns = 0.5;      // ... this share of the allowance, at most so much of its capacity
+constexpr double kColdPiece = 0.3;      // share of the fleet's allowance in a span that one query may take
 constexpr double kCapacityBusy = 0.85;  // an engine's capacity, as busy share of its cores
 constexpr Time kTick = 20'000, kLookOver = 200'000;  // requests, the fleet's means are looked at this often
 constexpr Time kStalled = 150'000;  // a timer of ours this late: we stood still, not the engines
@@ -127,7 +127,8 @@
 
   static ClassState untried(const ClassSettings& c) {
     return {.mean_work = std::max(1000.0, static_cast<double>(c.aim)) / kAimOverRun * c.threads,
-            .grant = kGrantStart};
+            .grant = kGrantStart,
+            .took = static_cast<double>(c.aim) * c.threads};
   }
   void share_out() {
     gateways_ = s_.routers, tenant_share_ = 1 / gateways_;
@@ -184,7 +185,7 @@
   // have one home each. A load keeps off its readers' homes, and draws an engine by itself, or all gateways'
   // loads of a group would meet where the hash has it last.
   double distance(const Engine& e, const Request& r, double own_mean) const {
-    const double agreed = e.told.id == r.home ? 1 : homes_.part(e.told.id, r.group) / 2;
+    const double agreed = e.told.id == r.home ? 1 : placement_.part(e.told.id, r.group) / 2;
     const double mean = own_part_ * own_mean + (1 - own_part_) * agreed;
     const double norm2 = own_part_ * e.norm2 + (1 - own_part_) * kAgreedNorm;
     return std::sqrt(std::max(0.0, norm2 - 2 * mean + 1));
@@ -374,7 +375,7 @@
     count(e, r, r.attempts.back(), 1);
     auto& g = group(e, r.group);
     ++(c.is_load ? g.loads : g.readers);
-    if (is_cold(e)) e.cold_sent.emplace_back(now_, std::max(classes_[r.cls].mean_work, r.work));
+    if (is_cold(e)) e.cold_sent.emplace_back(now_, std::max(classes_[r.cls].at_most(), r.work));
     if (!c.is_load) move_mean(e, g);  // a load's engine is no home for its readers
   }
 
@@ -443,7 +444,8 @@
   }
   double capacity_share(const Engine& e) const {  // a lower bound: slow at first, then faster
     if (!is_cold(e)) return 1;
-    const double age = static_cast<double>(now_ - e.cold_since) / static_cast<double>(s_.cold->warm_after);
+    const Time gone = std::max<Time>(0, now_ - e.cold_since);  // their clock may be ahead of ours
+    const double age = static_cast<double>(gone) / static_cast<double>(s_.cold->warm_after);
     return s_.cold->from + (1 - s_.cold->from) * age * age;
   }
   double cold_budget(const Engine& e) const {  // our part of what it may be sent in a span
@@ -457,14 +459,14 @@
   bool cold_allows(Engine& e, const Request& r) const {
     if (!is_cold(e)) return true;
     while (!e.cold_sent.empty() && e.cold_sent.front().first <= now_ - s_.cold->span) e.cold_sent.pop_front();
-    const double mean = classes_[r.cls].mean_work, work = std::max(mean, r.work) * (r.told ? 1 : kColdUntold);
+    const double mean = classes_[r.cls].at_most(), work = std::max(mean, r.work) * (r.told ? 1 : kColdUntold);
     if (cold_budget(e) >= kColdShares * mean) {
       double sum = work;
       for (const auto& [at, weight] : e.cold_sent) sum += weight;
       return sum <= cold_budget(e);
     }
     const double span = static_cast<double>(s_.cold->span), capacity = kCapacityBusy * e.cores;
-    const double most = s_.cold->multiple * capacity_share(e) * capacity * span;
+    const double most = s_.cold->multiple * s_.cold->from * capacity * span;  // may stay as it began
     if (!e.cold_sent.empty() || work > kColdPiece * most) return false;
     const double use = std::min(kColdTurns * s_.cold->multiple, kColdMost) * capacity / classes_.size();
     const double age = static_cast<double>(now_ - e.cold_since);  // over it, the mean of the share so far:
@@ -643,16 +645,16 @@
     return sum - std::floor(sum);
   }
 
-  void plan_homes() {
-    std::vector<Homes::Room> rooms;
+  void plan_placement() {
+    std::vector<Placement::Room> rooms;
     for (const auto& [id, e] : engines_) {
       if (serves(e)) rooms.push_back({id, e.hash, e.cores * capacity_share(e)});
     }
-    homes_.plan(rooms, now_);
+    placement_.plan(rooms, now_);
   }
 
   void look_over_fleet() {
-    if (homes_.stale(now_)) plan_homes();
+    if (placement_.stale(now_)) plan_placement();
     std::vector<double> paces;
     double cores = 0, warm = 0, own = 0;
     std::size_t bad = 0;
@@ -736,7 +738,7 @@
     std::erase_if(engines_, [this](auto& one) {  // a cold one's budget is remembered
       return one.second.told.state == EngineState::kGone && one.second.out == 0 && !is_cold(one.second);
     });
-    plan_homes();
+    plan_placement();
     look_over_fleet();
   }
 
@@ -747,8 +749,8 @@
     e.shut_until = 0;
     e.pace = median_pace_;
     e.reported_at = kNever;
-    // What our predecessor sent is unknown: take it as spent.
-    if (now_ - begun_at_ < kTick && is_cold(e)) e.cold_sent.emplace_back(now_, cold_budget(e));
+    // What our predecessor sent in the span before is unknown, whenever we are told: take it as spent.
+    if (is_cold(e) && started < begun_at_) e.cold_sent.emplace_back(begun_at_, cold_budget(e));
   }
 
   void on(const RequestArrived& a) {
@@ -763,7 +765,7 @@
     r.arrived = stalled_ ? std::min(now_, a.give_up_at - k.patience) : now_;
     r.told = a.work.has_value();
     r.work = a.work ? *a.work * k.bias : k.mean_work;
-    if (a.work) k.mean_work += kLearn * (std::min(r.work, 20 * k.mean_work) - k.mean_work);
+    if (a.work) k.mean_work += kLearn * (std::min(r.work, 20 * k.mean_work) - k.mean_work), k.took = 0;
     r.aim_at = std::min(r.give_up_at, r.arrived + c.aim + static_cast<Time>(c.aim_stretch * run_time(r)));
     r.worth = c.worth * (within_share(a.tenant) ? 1 : s_.over_share_worth);
     know_mix(r);
@@ -775,9 +777,9 @@
     }
     if (c.ordered && r.key != 0) keys_[r.key].line.push_back(&r);
     actions_->push_back(Wake{r.give_up_at, kFirstRequestToken + r.id});
-    homes_.ask(r.group, classes_[r.cls].mean_work, now_);
-    if (homes_.lacks(r.group, now_)) plan_homes();
-    r.home = c.is_load ? kNoHome : homes_.draw(r.group, draw(r));
+    placement_.ask(r.group, classes_[r.cls].mean_work, now_);
+    if (placement_.lacks(r.group, now_)) plan_placement();
+    r.home = c.is_load ? kNoHome : placement_.draw(r.group, draw(r));
     shed(r);  // a client's late further try may have no time left
     if (!r.over) place(r);
   }
@@ -905,8 +907,10 @@
     // Where nothing tells a class's work, the median of its latencies stands for the mean of its work: work
     // is skewed, its median under its mean by about as much as sharing an engine takes.
     if (!ended.work && !r.told) {
+      const double took = static_cast<double>(ended.latency) * cls(r).threads;
+      k.took += (took - k.took) * std::max(kLearn, 1 / ++k.timed);
       const double step = open_ >= 1 ? kWorkStep : kWorkStep / 5;  // late answers tell of engines, not work
-      k.mean_work *= static_cast<double>(ended.latency) * cls(r).threads > k.mean_work ? 1 + step : 1 - step;
+      k.mean_work *= took > k.mean_work ? 1 + step : 1 - step;
     }
     if (ended.work && r.work > 0) {
       const double off = std::clamp(*ended.work / r.work, 0.2, 2.0);
@@ -1039,7 +1043,7 @@
   std::vector<Action>* actions_ = nullptr;
   std::map<EngineId, Engine> engines_;
   std::map<RequestId, Request> requests_;
-  Homes homes_;
+  Placement placement_;
   std::vector<ClassState> classes_;
   std::map<std::uint32_t, Tenant> tenants_;
   double gateways_ = 1, tenant_share_ = 1;  // like us that would carry all; our part of a tenant's quota
