Log and count what the incident's evidence lacked: engine states, blocked attempts, polls

Cause: no line told which dispatcher held which state of the engine, which attempt started there or was stopped, and what polls brought. Change: a line for each change of an engine's state with the age of its announcement, for each attempt that starts at a draining engine, is stopped or ends without a response and each request not served (client's id, 40 a second at most), and for commands to an engine that takes no new attempts; counters of polls by outcome and of stopped attempts by reason.

--- a/src/admin/admin_response.cpp
+++ b/src/admin/admin_response.cpp
@@ -1,6 +1,7 @@
 #include "admin/admin_response.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 
@@ -36,6 +37,22 @@
     for (const auto& [code, count] : auth.denied_by_code) add_joined({"denied.", code}, count);
   }
 
+  void add_discovery(const DiscoveryMetrics& discovery) {
+    add("discovery.polls", discovery.polls);
+    add("discovery.newer_lists", discovery.newer_lists);
+    add("discovery.same_lists", discovery.same_lists);
+    add("discovery.older_lists", discovery.older_lists);
+    add("discovery.unusable_responses", discovery.unusable_responses);
+  }
+
+  void add_attempts(const Metrics& metrics) {
+    add("attempts_at_draining_engines", metrics.attempts_at_draining_engines);
+    for (std::size_t index = 0; index < metrics.attempts_blocked.size(); ++index) {
+      const auto reason = static_cast<policy::BlockReason>(index);
+      add_joined({"attempts_blocked.", policy::to_metric_word(reason)}, metrics.attempts_blocked[index]);
+    }
+  }
+
   [[nodiscard]] std::string take() { return std::move(text_); }
 
  private:
@@ -76,6 +93,8 @@
   }
   text.add("loads", metrics.config_reloads);
   text.add("load_errors", metrics.config_reload_errors);
+  text.add_discovery(metrics.discovery);
+  text.add_attempts(metrics);
   return text.take();
 }
 
--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -201,7 +201,7 @@
     discovery_->change_server(*config.nameserver, config.service, config.discovery_poll_interval);
   } else {
     discovery_ = std::make_unique<DnsDiscoveryClient>(
-        loop_, log_, *config.nameserver, config.service, config.discovery_poll_interval,
+        loop_, log_, metrics_.discovery, *config.nameserver, config.service, config.discovery_poll_interval,
         config.initial_endpoints_version, config.seed, [this](const std::vector<EngineEndpoint>& endpoints) {
           dispatcher_.update_endpoints(endpoints, false, discovery_->list_effective_since());
         });
--- a/src/discovery/dns_discovery_client.cpp
+++ b/src/discovery/dns_discovery_client.cpp
@@ -25,11 +25,13 @@
 
 }  // namespace
 
-DnsDiscoveryClient::DnsDiscoveryClient(EventLoop& loop, Logger& log, const SocketAddress& server,
-                                       std::string service, Duration poll_interval, std::uint64_t version,
-                                       std::uint64_t seed, UpdateHandler on_update)
+DnsDiscoveryClient::DnsDiscoveryClient(EventLoop& loop, Logger& log, DiscoveryMetrics& metrics,
+                                       const SocketAddress& server, std::string service,
+                                       Duration poll_interval, std::uint64_t version, std::uint64_t seed,
+                                       UpdateHandler on_update)
     : loop_(loop),
       log_(log),
+      metrics_(metrics),
       server_(server),
       service_(std::move(service)),
       schedule_(poll_interval),
@@ -99,6 +101,7 @@
   const bool first_on_socket = !std::exchange(current_socket().used, true);
   pending_queries_.push_back({id, loop_.now(), first_on_socket});
   if (pending_queries_.size() > kMaxPendingQueries) pending_queries_.erase(pending_queries_.begin());
+  ++metrics_.polls;
   send_query(encode_dns_query(id, service_));
 }
 
@@ -141,7 +144,10 @@
   if (response.error == DnsError::kMismatched) return;  // the true response may still come under this id
   const bool is_usable = response.error == DnsError::kNone;
   report_path_event(path_.on_response(query->first_on_socket, is_usable), dns_error_text(response.error));
-  if (!is_usable) return;  // a whole one may still come, as where a datagram was damaged on its way
+  if (!is_usable) {
+    ++metrics_.unusable_responses;
+    return;  // a whole one may still come, as where a datagram was damaged on its way
+  }
   const Time polled_at = query->sent_at;
   complete_query(query);
   update_list(response, polled_at);
@@ -163,9 +169,13 @@
   const std::string version = std::to_string(response.version);
   switch (list_version_.classify(response.version, polled_at, loop_.now())) {
     case EndpointListVersion::Ordering::kSame:
+      ++metrics_.same_lists;
+      return;
     case EndpointListVersion::Ordering::kOlder:
+      ++metrics_.older_lists;
       return;
     case EndpointListVersion::Ordering::kSuspectedRestart:
+      ++metrics_.older_lists;
       log_.write(LogLevel::kWarning, "directory",
                  "the serial went back; the newer list stays in force for now", {{"serial", version}});
       return;
@@ -176,8 +186,13 @@
     case EndpointListVersion::Ordering::kNewer:
       break;
   }
+  ++metrics_.newer_lists;
+  const auto announced_ago =
+      std::chrono::duration_cast<std::chrono::milliseconds>(loop_.now() - list_effective_since_);
   log_.write(LogLevel::kInfo, "directory", "new list",
-             {{"serial", version}, {"engines", std::to_string(response.endpoints.size())}});
+             {{"serial", version},
+              {"engines", std::to_string(response.endpoints.size())},
+              {"announced_ms", std::to_string(announced_ago.count())}});
   on_update_(response.endpoints);
 }
 
--- a/src/discovery/dns_discovery_client.h
+++ b/src/discovery/dns_discovery_client.h
@@ -11,7 +11,8 @@
 #include <vector>
 
 #include "discovery/dns.h"
-#include "dispatcher/interfaces.h"
+#include "dispatcher/engine_endpoint.h"
+#include "dispatcher/metrics.h"
 #include "log/log.h"
 #include "net/event_loop.h"
 #include "net/file_descriptor.h"
@@ -24,8 +25,8 @@
 namespace rookproxy {
 
 /// Polls one DNS server over UDP and reports each newer endpoint list. A server that does not respond changes
-/// nothing: the last list stays in force. Runs on the event loop's thread; the loop and the logger must
-/// outlive it.
+/// nothing: the last list stays in force. Runs on the event loop's thread; the loop, the logger and the
+/// metrics must outlive it.
 class DnsDiscoveryClient final {
  public:
   /// Called with each newer list, from the event loop.
@@ -33,8 +34,8 @@
 
   /// Starts polling at once, then about every `poll_interval`. `version` is that of the list known at the
   /// start, and only later ones are reported; `seed` is that of query ids and of the jitter between polls.
-  DnsDiscoveryClient(EventLoop& loop, Logger& log, const SocketAddress& server, std::string service,
-                     Duration poll_interval, std::uint64_t version, std::uint64_t seed,
+  DnsDiscoveryClient(EventLoop& loop, Logger& log, DiscoveryMetrics& metrics, const SocketAddress& server,
+                     std::string service, Duration poll_interval, std::uint64_t version, std::uint64_t seed,
                      UpdateHandler on_update);
   ~DnsDiscoveryClient();
   DnsDiscoveryClient(const DnsDiscoveryClient&) = delete;
@@ -81,6 +82,7 @@
 
   EventLoop& loop_;
   Logger& log_;
+  DiscoveryMetrics& metrics_;
   SocketAddress server_;
   std::string service_;
   policy::PollSchedule schedule_;
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -22,7 +22,7 @@
 
 Dispatcher::Dispatcher(EventLoop& loop, Logger& log, Metrics& metrics, const routing::Settings& settings,
                        std::vector<std::string> zones, DispatcherLimits limits)
-    : loop_(loop), log_(log), metrics_(metrics), limits_(limits), router_(settings) {
+    : loop_(loop), log_(log), metrics_(metrics), limits_(limits), router_(settings), request_log_(log) {
   engines_.set_zones(std::move(zones));
   apply_settings(settings);
 }
@@ -163,11 +163,20 @@
   const Attempt* attempt = requests_.find_attempt(key);
   if (!attempt || !attempt->in_flight) return false;
   const Request& request = *requests_.find(key.request);
-  const auto reason = attempt_rules_.check_start(request, key.number, monotonic_now());
-  if (!reason) return true;
-  log_.write(LogLevel::kInfo, kLogId, "attempt not begun: " + std::string(to_text(*reason)),
-             {{"engine", engines_.endpoint(attempt->engine).id}});
-  return false;
+  const Time now = monotonic_now();
+  const std::string& engine = engines_.endpoint(attempt->engine).id;
+  const auto reason = attempt_rules_.check_start(request, key.number, now);
+  if (reason) {
+    ++metrics_.attempts_blocked[static_cast<std::size_t>(*reason)];
+    request_log_.attempt_blocked(request, engine, *reason, now);
+    return false;
+  }
+  const Time accepts_until = engines_.accepts_attempts_until(attempt->engine);
+  if (accepts_until != Time::max()) {
+    ++metrics_.attempts_at_draining_engines;
+    request_log_.attempt_starts_at_draining_engine(request, key.number, engine, accepts_until - now, now);
+  }
+  return true;
 }
 
 void Dispatcher::on_attempt_ended(AttemptKey key, AttemptResult result) {
@@ -217,6 +226,7 @@
   Request* request = requests_.find(action.request);
   const auto reason = attempt_rules_.check_send(request, action.engine, loop_.now());
   if (reason) {
+    ++metrics_.attempts_blocked[static_cast<std::size_t>(*reason)];
     log_.write(LogLevel::kWarning, kLogId, "send held back: " + std::string(to_text(*reason)), {});
   }
   if (!request) return;
@@ -343,6 +353,8 @@
   if (!attempt || !attempt->in_flight) return;  // a second end of the same attempt
   loop_.cancel(attempt->timer);
   RequestTable::end_attempt(*request, *attempt, result.outcome);
+  request_log_.attempt_ended(*request, key.number, engines_.endpoint(attempt->engine).id, result.outcome,
+                             loop_.now());
   routing::AttemptEnded event;
   event.request = key.request;
   event.attempt = key.number;
@@ -375,6 +387,10 @@
     }
   }
   ResponseHandler* handler = std::exchange(request->handler, nullptr);
+  if (handler) {
+    const std::string& class_name = class_settings(request->incoming.class_index).name;
+    request_log_.request_completed(*request, class_name, response, loop_.now());
+  }
   // A response that nobody receives is not counted.
   if (handler) respond(key, *handler, request->ticket, std::move(response));
   // Attempts that are unsent end at once, whatever the class. Those that have started are the decision
--- a/src/dispatcher/dispatcher.h
+++ b/src/dispatcher/dispatcher.h
@@ -19,6 +19,7 @@
 #include "dispatcher/limits.h"
 #include "dispatcher/metrics.h"
 #include "dispatcher/request.h"
+#include "dispatcher/request_log.h"
 #include "dispatcher/request_table.h"
 #include "dispatcher/routing_time.h"  // for the callers that convert settings
 #include "log/log.h"
@@ -146,8 +147,9 @@
   bool in_settings_transition_ = false;
   std::size_t process_count_ = 1;
   RequestTable requests_;
-  EngineRegistry engines_{loop_, settings_, limits_};
+  EngineRegistry engines_{loop_, log_, settings_, limits_};
   AttemptRules attempt_rules_{settings_, engines_};
+  RequestLog request_log_;
   // What has come in since process_events() was called last.
   std::vector<routing::Event> events_;
   // Kept between calls for its memory alone.
--- a/src/dispatcher/engine_registry.cpp
+++ b/src/dispatcher/engine_registry.cpp
@@ -1,7 +1,9 @@
 #include "dispatcher/engine_registry.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
+#include <string_view>
 #include <utility>
 
 #include "dispatcher/routing_time.h"
@@ -28,6 +30,22 @@
   return index;
 }
 
+std::string_view to_text(routing::EngineState state) {
+  switch (state) {
+    case routing::EngineState::kServing:
+      return "serving";
+    case routing::EngineState::kDraining:
+      return "draining";
+    case routing::EngineState::kRemoved:
+      return "removed";
+  }
+  return "";
+}
+
+std::string to_milliseconds(Duration duration) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 }  // namespace
 
 routing::EngineList EngineRegistry::update(const std::vector<EngineEndpoint>& endpoints, bool is_cached,
@@ -66,7 +84,8 @@
   // A new start at the same address is another process: connections to the former one are dead.
   const bool is_moved = is_new || engine.endpoint.address != endpoint.address ||
                         engine.endpoint.started_at != endpoint.started_at || engine.is_removed();
-  engine.endpoint = endpoint;
+  const routing::EngineState former_state = std::exchange(engine.endpoint, endpoint).state;
+  if (!is_new && former_state != endpoint.state) log_state_change(engine, former_state, announced_at);
   if (engine.is_removed()) {
     transport_->stop_new_attempts(id);
   } else if (is_moved) {
@@ -80,11 +99,25 @@
     Engine& engine = engines_[id];
     if (is_listed[id] || engine.is_removed()) continue;
     if (engine.is_serving()) start_drain(id, announced_at);
-    engine.endpoint.state = routing::EngineState::kRemoved;
+    const routing::EngineState former_state =
+        std::exchange(engine.endpoint.state, routing::EngineState::kRemoved);
+    log_state_change(engine, former_state, announced_at);
     transport_->stop_new_attempts(id);
   }
 }
 
+void EngineRegistry::log_state_change(const Engine& engine, routing::EngineState former, Time announced_at) {
+  if (!state_log_budget_.take(loop_.now())) return;
+  const std::uint64_t suppressed = state_log_budget_.take_suppressed();
+  log_.write(LogLevel::kInfo, "dispatcher", "engine state changed",
+             {{"engine", engine.endpoint.id},
+              {"address", engine.endpoint.address.to_string()},
+              {"from", std::string(to_text(former))},
+              {"to", std::string(to_text(engine.endpoint.state))},
+              {"announced_ms", to_milliseconds(loop_.now() - announced_at)},
+              {"left_out", std::to_string(suppressed)}});
+}
+
 void EngineRegistry::start_drain(EngineId id, Time announced_at) {
   engines_[id].closing_since = announced_at;
   schedule_drain_end(id);
--- a/src/dispatcher/engine_registry.h
+++ b/src/dispatcher/engine_registry.h
@@ -12,6 +12,8 @@
 #include "dispatcher/engine_endpoint.h"
 #include "dispatcher/engine_transport.h"
 #include "dispatcher/limits.h"
+#include "log/log.h"
+#include "log/log_budget.h"
 #include "net/event_loop.h"
 
 namespace rookproxy {
@@ -21,8 +23,8 @@
 // settings and limits, which must outlive it.
 class EngineRegistry {
  public:
-  EngineRegistry(EventLoop& loop, const ActiveSettings& settings, const DispatcherLimits& limits)
-      : loop_(loop), settings_(settings), limits_(limits) {}
+  EngineRegistry(EventLoop& loop, Logger& log, const ActiveSettings& settings, const DispatcherLimits& limits)
+      : loop_(loop), log_(log), settings_(settings), limits_(limits) {}
 
   void set_transport(EngineTransport& transport) { transport_ = &transport; }
   // The names of the settings' zones, by index.
@@ -68,15 +70,21 @@
   void start_drain(EngineId id, Time announced_at);
   void schedule_drain_end(EngineId id);
   [[nodiscard]] Time latest_drain_start(const Engine& engine) const;
+  void log_state_change(const Engine& engine, routing::EngineState former, Time announced_at);
   [[nodiscard]] routing::EngineEntry entry(EngineId id) const;
 
+  // A release may replace many engines at once.
+  static constexpr int kStateLinesPerSecond = 40;
+
   EventLoop& loop_;
+  Logger& log_;
   const ActiveSettings& settings_;
   const DispatcherLimits& limits_;
   EngineTransport* transport_ = nullptr;
   std::vector<std::string> zones_;
   std::unordered_map<std::string, EngineId> ids_;
   std::vector<Engine> engines_;
+  LogBudget state_log_budget_{kStateLinesPerSecond};
 };
 
 }  // namespace rookproxy
--- a/src/dispatcher/metrics.h
+++ b/src/dispatcher/metrics.h
@@ -2,7 +2,9 @@
 // them. All of them are used by the event loop's thread alone.
 #pragma once
 
+#include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -10,6 +12,7 @@
 #include <string_view>
 
 #include "dispatcher/request.h"
+#include "policy/attempt_guard.h"
 
 namespace rookproxy {
 
@@ -37,6 +40,17 @@
   std::map<std::string, std::uint64_t> denied_by_code;
 };
 
+// Polls of service discovery, by what came of them.
+struct DiscoveryMetrics {
+  std::uint64_t polls = 0;
+  // Usable responses by the version of their list beside the newest one known.
+  std::uint64_t newer_lists = 0;
+  std::uint64_t same_lists = 0;
+  std::uint64_t older_lists = 0;
+  // Damaged, truncated and error responses.
+  std::uint64_t unusable_responses = 0;
+};
+
 // Counters since the process started. Those of a class that was removed stay, so that sums never decrease.
 struct Metrics {
   MetricsByClass by_class;
@@ -45,6 +59,11 @@
   AuthMetrics auth;
   // Attempts written to engines to their last byte.
   std::uint64_t attempts_written = 0;
+  // Attempts that were stopped before their first byte, by policy::BlockReason.
+  std::array<std::uint64_t, policy::kBlockReasonCount> attempts_blocked{};
+  // Attempts that started at engines that drain, within the grace period.
+  std::uint64_t attempts_at_draining_engines = 0;
+  DiscoveryMetrics discovery;
   // Configurations accepted and refused at SIGHUP.
   std::uint64_t config_reloads = 0;
   std::uint64_t config_reload_errors = 0;
--- a/src/policy/attempt_guard.cpp
+++ b/src/policy/attempt_guard.cpp
@@ -28,6 +28,32 @@
   return "";
 }
 
+std::string_view to_metric_word(BlockReason reason) {
+  switch (reason) {
+    case BlockReason::kRequestCompleted:
+      return "request_completed";
+    case BlockReason::kUnknownEngine:
+      return "unknown_engine";
+    case BlockReason::kTooManyAttempts:
+      return "too_many_attempts";
+    case BlockReason::kAttemptInFlight:
+      return "attempt_in_flight";
+    case BlockReason::kMayHaveRun:
+      return "may_have_run";
+    case BlockReason::kMayHaveRunElsewhere:
+      return "may_have_run_elsewhere";
+    case BlockReason::kDeadlineExceeded:
+      return "deadline_exceeded";
+    case BlockReason::kEngineDraining:
+      return "engine_draining";
+    case BlockReason::kEngineRemoved:
+      return "engine_removed";
+    case BlockReason::kIdempotencyWindowOver:
+      return "idempotency_window_over";
+  }
+  return "";
+}
+
 AttemptGuard::AttemptGuard(const RetryRule& rule, EngineLocation location, Time deadline, Time engine_until)
     : retry_rule_(rule), location_(location) {
   limit_start(deadline, BlockReason::kDeadlineExceeded);
--- a/src/policy/attempt_guard.h
+++ b/src/policy/attempt_guard.h
@@ -5,6 +5,7 @@
 // kernel: establishing a connection can take long, and what was right at first may be wrong by then.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -55,8 +56,12 @@
   kIdempotencyWindowOver  // engines may have forgotten the earlier attempt's idempotency key
 };
 
+inline constexpr std::size_t kBlockReasonCount = 10;
+
 // The reason as it is written to the log.
 [[nodiscard]] std::string_view to_text(BlockReason reason);
+// The reason as one word, for the names of metrics.
+[[nodiscard]] std::string_view to_metric_word(BlockReason reason);
 
 // Joins the limits on one attempt: its deadline, its engine's end and the other attempts of its request.
 class AttemptGuard {
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -239,7 +239,11 @@
 void ConnectionPool::set_engine_address(EngineId engine, const SocketAddress& address) {
   while (engines_.size() <= engine) engines_.emplace_back(loop_);
   engines_[engine].address = address;
-  // Another process answers there now, or none: the old connections end once what runs on them has ended.
+  engines_[engine].takes_no_attempts = false;
+  drain_connections(engine);  // another process answers there now
+}
+
+void ConnectionPool::drain_connections(EngineId engine) {
   for (const SlotKey key : std::vector<SlotKey>(engines_[engine].connections)) {
     if (EngineConnection* connection = find_connection(key)) {
       connection->end_never_sent();
@@ -250,7 +254,27 @@
 }
 
 void ConnectionPool::stop_new_attempts(EngineId engine) {
-  if (engine < engines_.size()) set_engine_address(engine, engines_[engine].address);
+  if (engine >= engines_.size()) return;
+  engines_[engine].takes_no_attempts = true;
+  std::size_t open_attempts = 0;
+  for (const SlotKey key : engines_[engine].connections)
+    open_attempts += find_connection(key)->open_attempts();
+  log_.write(LogLevel::kInfo, "link", "engine takes no new attempts",
+             {{"engine", engines_[engine].address.to_string()},
+              {"connections", std::to_string(engines_[engine].connections.size())},
+              {"open", std::to_string(open_attempts)}});
+  drain_connections(engine);
+}
+
+// An engine that takes no attempts is still told what concerns those that run there.
+void ConnectionPool::log_command(const EngineConnection& connection, std::string_view command,
+                                 std::string_view request) {
+  const Engine& engine = engines_[connection.engine()];
+  if (!engine.takes_no_attempts || !late_command_log_budget_.take(loop_.now())) return;
+  log_.write(LogLevel::kInfo, "link", "command to an engine that takes no new attempts",
+             {{"engine", engine.address.to_string()},
+              {"command", std::string(command)},
+              {"request", std::string(request)}});
 }
 
 void ConnectionPool::log_unresponsive(const EngineConnection& connection) {
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -13,6 +13,7 @@
 #include "dispatcher/figures.h"
 #include "dispatcher/interfaces.h"
 #include "log/log.h"
+#include "log/log_budget.h"
 #include "net/event_loop.h"
 #include "net/slot_map.h"
 #include "net/socket_address.h"
@@ -80,6 +81,7 @@
     SocketAddress address;
     std::vector<SlotKey> connections;
     Timer probe_timer;
+    bool takes_no_attempts = false;  // removed, or near the end of its drain grace period
   };
 
   // Called by connections.
@@ -89,6 +91,9 @@
   void complete_probe(EngineId engine, Outcome outcome, const std::optional<LoadReport>& report);
   void close_connection(SlotKey key, std::string_view reason);
   void log_unresponsive(const EngineConnection& connection);
+  void log_command(const EngineConnection& connection, std::string_view command, std::string_view request);
+  // The connections to the engine take no more attempts, and end once what runs on them has ended.
+  void drain_connections(EngineId engine);
 
   [[nodiscard]] EngineConnection* find_connection(SlotKey key);
   [[nodiscard]] EngineConnection* find_connection_of(AttemptKey key);
@@ -113,6 +118,8 @@
   // requests that the dispatcher has open.
   std::deque<AttemptRequest> waiting_;
   Timer waiting_timer_;
+  static constexpr int kLateCommandLinesPerSecond = 10;
+  LogBudget late_command_log_budget_{kLateCommandLinesPerSecond};
 };
 
 }  // namespace rookproxy
--- a/src/upstream/engine_connection.cpp
+++ b/src/upstream/engine_connection.cpp
@@ -125,6 +125,10 @@
 
 std::uint64_t* EngineConnection::attempts_written_counter() const { return &pool_.metrics_.attempts_written; }
 
+void EngineConnection::log_command(std::string_view command, std::string_view request) const {
+  pool_.log_command(*this, command, request);
+}
+
 void EngineConnection::on_unresponsive() {
   if (std::exchange(draining_, true)) return;
   pool_.log_unresponsive(*this);
--- a/src/upstream/engine_connection.h
+++ b/src/upstream/engine_connection.h
@@ -108,6 +108,8 @@
   void record_activity() { responsiveness_.record_activity(); }
   [[nodiscard]] const PoolLimits& limits() const;
   [[nodiscard]] Time current_time() const;
+  // Logs a command about a request that is written to an engine that takes no new attempts.
+  void log_command(std::string_view command, std::string_view request) const;
   // Counts the attempts that were written to their last byte.
   [[nodiscard]] std::uint64_t* attempts_written_counter() const;
   [[nodiscard]] Stream& stream() { return *stream_; }
--- a/src/upstream/line_protocol_connection.cpp
+++ b/src/upstream/line_protocol_connection.cpp
@@ -45,6 +45,7 @@
       release_attempt();
       continue;
     }
+    log_command("REQ", waiting_ids_.front());
     const Stream::WriteId write =
         stream().write(make_line_request(attempt.request, current_time()), attempts_written_counter());
     attempt.started = stream().has_write_started(write);
@@ -68,6 +69,7 @@
   const bool started = found->second.started;
   if (started) {
     // The engine's work is done once the first page has come: then it only keeps the pages.
+    log_command("STOP", found->first);
     stream().write((found->second.pages.empty() ? "STOP " : "END ") + found->first + "\r\n");
   } else {
     std::erase(waiting_ids_, found->first);
@@ -88,6 +90,7 @@
 void LineProtocolConnection::probe() {
   static std::uint64_t last_probe = 0;
   probe_id_ = "probe-" + std::to_string(++last_probe);
+  log_command("STAT", probe_id_);
   stream().write("STAT " + probe_id_ + "\r\n");
 }
 
@@ -198,7 +201,10 @@
   for (std::size_t page = 1; page < *count; ++page) {
     fetches += "FETCH " + id + " " + std::to_string(page) + "\r\n";
   }
-  if (!fetches.empty()) stream().write(std::move(fetches));
+  if (!fetches.empty()) {
+    log_command("FETCH", id);
+    stream().write(std::move(fetches));
+  }
   add_page(id, attempt, 0, response.body);
 }
 
--- a/tests/discovery/dns_discovery_client_test.cpp
+++ b/tests/discovery/dns_discovery_client_test.cpp
@@ -187,7 +187,7 @@
   explicit DiscoveryBench(std::function<void(const Server::ReceivedQuery&)> on_query, Duration interval = 5ms)
       : poll(interval), server(loop, std::move(on_query)) {}
   void start(const SocketAddress& at) {
-    client.emplace(loop, log, at, "_app._tcp.cluster.lan", poll, 1, 7,
+    client.emplace(loop, log, metrics, at, "_app._tcp.cluster.lan", poll, 1, 7,
                    [this](const std::vector<EngineEndpoint>& endpoints) {
                      reported.push_back(endpoints.at(0).address.port);
                      report_times.push_back({client->list_effective_since(), loop.now()});
@@ -215,6 +215,7 @@
   EventLoop loop;
   std::ostringstream text;
   Logger log{text, LogLevel::kDebug, "h", "a"};
+  DiscoveryMetrics metrics;
   Server server;
   std::optional<DnsDiscoveryClient> client;
   std::vector<std::uint16_t> reported;
