Failing tests: a drain announced in a lost response, behind which older lists come

Cause: a response with an older list counts as the answer to its poll (DnsDiscoveryClient::complete_query runs before the version is looked at). It ends the wait for a lost response, so the drain's grace counts from the list's arrival, and it closes its query, so the newer list behind it is dropped. Change: three tests, a real process among them; the fake discovery server lags and loses responses as it is told.

--- a/src/fakes/fake_discovery_server.cpp
+++ b/src/fakes/fake_discovery_server.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <chrono>
 #include <stdexcept>
+#include <utility>
 
 #include "fakes/dns_response.h"
 #include "fakes/sockets.h"
@@ -34,8 +35,25 @@
 
 void FakeDiscoveryServer::set_endpoints(std::vector<EngineEndpoint> endpoints) {
   const std::lock_guard lock(mutex_);
-  endpoints_ = std::move(endpoints);
+  previous_endpoints_ = std::exchange(endpoints_, std::move(endpoints));
   ++version_;
+  current_list_sent_at_.reset();
+}
+
+void FakeDiscoveryServer::set_response_mode(ResponseMode mode) {
+  const std::lock_guard lock(mutex_);
+  response_mode_ = mode;
+  polls_in_mode_ = 0;
+}
+
+int FakeDiscoveryServer::polls_in_mode() {
+  const std::lock_guard lock(mutex_);
+  return polls_in_mode_;
+}
+
+std::optional<std::chrono::steady_clock::time_point> FakeDiscoveryServer::current_list_sent_at() {
+  const std::lock_guard lock(mutex_);
+  return current_list_sent_at_;
 }
 
 std::uint32_t FakeDiscoveryServer::version() {
@@ -56,11 +74,23 @@
   const ssize_t received = ::recvfrom(socket_.get(), query.data(), query.size(), 0,
                                       reinterpret_cast<sockaddr*>(&client), &client_size);
   if (received < kMinQuerySize) return;
+  const std::string_view query_bytes(query.data(), static_cast<std::size_t>(received));
   const std::lock_guard lock(mutex_);
-  const std::string response =
-      make_dns_response({query.data(), static_cast<std::size_t>(received)}, version_, endpoints_);
+  ++polls_in_mode_;
+  const ResponseMode mode = response_mode_;
+  if (mode == ResponseMode::kOlderList || mode == ResponseMode::kOlderThenCurrent) {
+    send_list(query_bytes, client, version_ - 1, previous_endpoints_);
+  }
+  if (mode == ResponseMode::kOlderList) return;
+  if (!current_list_sent_at_) current_list_sent_at_ = std::chrono::steady_clock::now();
+  if (mode != ResponseMode::kLost) send_list(query_bytes, client, version_, endpoints_);
+}
+
+void FakeDiscoveryServer::send_list(std::string_view query, const sockaddr_in& client, std::uint32_t version,
+                                    const std::vector<EngineEndpoint>& endpoints) {
+  const std::string response = make_dns_response(std::string(query), version, endpoints);
   ::sendto(socket_.get(), response.data(), response.size(), 0, reinterpret_cast<const sockaddr*>(&client),
-           client_size);
+           sizeof client);
 }
 
 }  // namespace rookproxy::test
--- a/src/fakes/fake_discovery_server.h
+++ b/src/fakes/fake_discovery_server.h
@@ -1,9 +1,14 @@
 /// A service discovery server for tests.
 #pragma once
 
+#include <netinet/in.h>
+
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <mutex>
+#include <optional>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -26,18 +31,38 @@
 
   [[nodiscard]] std::uint16_t port() const { return local_port(socket_); }
 
+  /// How polls are answered.
+  enum class ResponseMode {
+    kCurrentList,
+    kOlderList,        // by a server that lags: the list before the current one
+    kLost,             // the response with the current list is lost on its way
+    kOlderThenCurrent  // an older list overtakes the current one: both come, under the same query
+  };
+
   /// Replaces the list and raises its version by one.
   void set_endpoints(std::vector<EngineEndpoint> endpoints);
+  /// Answers so from the next poll on.
+  void set_response_mode(ResponseMode mode);
+  /// How many polls have come since the response mode was set last.
+  [[nodiscard]] int polls_in_mode();
+  /// When the first response with the current list was sent, be it lost or not; nothing if none was.
+  [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> current_list_sent_at();
   [[nodiscard]] std::uint32_t version();
 
  private:
   void serve();
   void answer_next_query();
+  void send_list(std::string_view query, const sockaddr_in& client, std::uint32_t version,
+                 const std::vector<EngineEndpoint>& endpoints);
 
   FileDescriptor socket_;
   std::mutex mutex_;
   std::vector<EngineEndpoint> endpoints_;
+  std::vector<EngineEndpoint> previous_endpoints_;
   std::uint32_t version_;
+  ResponseMode response_mode_ = ResponseMode::kCurrentList;
+  int polls_in_mode_ = 0;
+  std::optional<std::chrono::steady_clock::time_point> current_list_sent_at_;
   std::atomic<bool> stop_requested_{false};
   std::thread thread_;
 };
--- a/tests/discovery/dns_discovery_client_test.cpp
+++ b/tests/discovery/dns_discovery_client_test.cpp
@@ -254,6 +254,41 @@
   CHECK((bench.report_times[1].since < bench.report_times[1].now));
 }
 
+TEST_CASE("discovery: a response with an older list does not end the wait for a lost one") {
+  // Guards against a grace period that begins when the list arrives, though it was announced in a response
+  // that was lost before a lagging server answered.
+  DiscoveryBench* self = nullptr;
+  Time first_dropped_at{};
+  DiscoveryBench bench([&](const Server::ReceivedQuery& one) {
+    auto& server = self->server;
+    if (server.queries.size() == 1) return server.respond(one, 4);
+    if (server.queries.size() == 2) first_dropped_at = self->loop.now();
+    if (server.queries.size() == 2) return;  // it would have had the list of version 5
+    if (server.queries.size() < 8) return server.respond(one, 3);
+    server.respond(one, 5);
+  });
+  self = &bench;
+  bench.start(bench.server.at());
+  bench.run([&] { return bench.reported.size() == 2; });
+  CHECK((bench.reported == std::vector<std::uint16_t>{4, 5}));
+  CHECK((bench.report_times[1].since <= first_dropped_at + bench.poll * 11 / 10));
+}
+
+TEST_CASE("discovery: an older list does not hide the newer one behind it under the same query") {
+  DiscoveryBench* self = nullptr;
+  DiscoveryBench bench([&](const Server::ReceivedQuery& one) {
+    auto& server = self->server;
+    if (server.queries.size() == 1) return server.respond(one, 4);
+    if (server.queries.size() > 2) return;
+    server.respond(one, 3);
+    server.respond(one, 5);
+  });
+  self = &bench;
+  bench.start(bench.server.at());
+  bench.run([&] { return bench.reported.size() == 2 || bench.server.queries.size() > 20; });
+  CHECK((bench.reported == std::vector<std::uint16_t>{4, 5}));
+}
+
 TEST_CASE("discovery: an unresponsive server is polled no more often, and its first response is used") {
   DiscoveryBench* self = nullptr;
   Time ended{};
--- /dev/null
+++ b/tests/integration/drain_announcement_test.cpp
@@ -0,0 +1,152 @@
+// What users saw: during a release, with service discovery losing and delaying responses, requests were sent
+// to an engine over two seconds after the dispatcher had been told that it drains.
+//
+// Order of events: a request waits for its connection to an engine. Discovery announces that the engine
+// drains, and that response is lost. The next polls are answered by a server that lags, with older lists.
+// Only then the list with the drain comes, and after it the connection is set up.
+//
+// Cause: any usable response counted as the answer to its poll, also one with an older list. The poll whose
+// response was lost was forgotten with it, and the grace period began when the list arrived instead of when
+// it may have been announced.
+//
+// Evidence: the logged age of an announcement ("announced_ms") was 0 behind a lost response, and a trace of
+// the connection shows the request's first byte after the grace period.
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <fstream>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "fakes/fake_discovery_server.h"
+#include "fakes/temporary_directory.h"
+#include "fakes/test_connection.h"
+#include "frontend/frame_codec.h"
+#include "net/sockets.h"
+#include "support/dispatcher_config.h"
+#include "support/dispatcher_process.h"
+#include "support/frames_client.h"
+#include "support/request_frame.h"
+#include "support/require.h"
+#include "support/scripted_line_engine.h"
+
+namespace rookproxy::test {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+using routing::EngineState;
+using Clock = std::chrono::steady_clock;
+using ResponseMode = FakeDiscoveryServer::ResponseMode;
+
+constexpr auto kPollInterval = 100ms;
+constexpr auto kGracePeriod = 2s;
+constexpr auto kGraceSlack = 50ms;
+// Polls that the lagging server answers: most of the grace period.
+constexpr int kOlderResponses = 14;
+// Polls behind them until the grace period, counted from the lost response, is over.
+constexpr int kPollsUntilGraceIsOver = 9;
+
+// Two engines, discovery and one dispatcher process; the dispatcher knows engine "a" from the start.
+class DrainFixture {
+ public:
+  DrainFixture() {
+    discovery_.set_endpoints({endpoint("a", EngineState::kServing)});
+    json config = default_dispatcher_config();
+    config["directory_poll_ms"] = kPollInterval.count();
+    config["nameserver"] = loopback_address(discovery_.port());
+    config["known"]["offset"] = discovery_.version();
+    config["known"]["batch"] = make_known_batch({{"a", engine_a.port()}});
+    config["settings"]["permissions"]["dial_timeout"] = 9'000'000;
+    config["settings"]["safety"]["drain_grace"] = std::chrono::microseconds(kGracePeriod).count();
+    std::ofstream(directory_.file("config.json")) << config.dump();
+    process.start({directory_.path(), directory_.file("log")});
+    process.wait_for_log("ready to serve");
+    client.emplace(TestConnection::connect(process.port_logged_with("serving frames")));
+  }
+
+  // A write that waits for its connection to engine "a", which accepts none.
+  void submit_request_that_waits_for_engine_a() {
+    engine_a.fill_accept_queue();
+    client->send(encode_request_frame(1, {{"op", "load"}, {"call", format_call_id(1)}, {"ttl", "9000"}},
+                                      "INSERT INTO s_1.t VALUES (1)"));
+    client->send(frames::encode_frame(frames::kReadinessQuery, 2, std::string(1, '\0')));
+    require(client->take_frame_of_type(frames::kReadiness), "the request was not taken");
+  }
+
+  // Discovery announces that "a" drains and "b" serves, and the first response that says so is lost. Returns
+  // when it was sent.
+  Clock::time_point announce_drain_in_lost_response() {
+    discovery_.set_response_mode(ResponseMode::kLost);
+    discovery_.set_endpoints({endpoint("a", EngineState::kDraining), endpoint("b", EngineState::kServing)});
+    wait_until([this] { return discovery_.current_list_sent_at().has_value(); });
+    return *discovery_.current_list_sent_at();
+  }
+
+  void answer_polls_with_older_list(int count) {
+    discovery_.set_response_mode(ResponseMode::kOlderList);
+    wait_until([this, count] { return discovery_.polls_in_mode() >= count; });
+  }
+
+  void answer_polls_with_current_list(int count) {
+    discovery_.set_response_mode(ResponseMode::kCurrentList);
+    process.wait_for_log("to=\"draining\"");
+    wait_until([this, count] { return discovery_.polls_in_mode() >= count; });
+  }
+
+  ScriptedLineEngine engine_a;
+  ScriptedLineEngine engine_b;
+  DispatcherProcess process;
+  std::optional<FramesClient> client;
+
+ private:
+  [[nodiscard]] EngineEndpoint endpoint(const std::string& id, EngineState state) const {
+    EngineEndpoint endpoint;
+    endpoint.id = id;
+    endpoint.address = {kLoopbackAddress, id == "a" ? engine_a.port() : engine_b.port()};
+    endpoint.zone = "z";
+    endpoint.machine_type = "m";
+    endpoint.state = state;
+    return endpoint;
+  }
+
+  template <class Condition>
+  static void wait_until(Condition condition) {
+    const auto deadline = Clock::now() + kWaitLimit;
+    while (!condition()) {
+      require(Clock::now() < deadline, "it did not come about");
+      std::this_thread::sleep_for(1ms);
+    }
+  }
+
+  TemporaryDirectory directory_;
+  FakeDiscoveryServer discovery_;
+};
+
+TEST_CASE(
+    "drains: an announcement that was lost before older lists came still counts from when it was sent") {
+  DrainFixture fixture;
+  fixture.submit_request_that_waits_for_engine_a();
+  const auto announced_at = fixture.announce_drain_in_lost_response();
+  fixture.answer_polls_with_older_list(kOlderResponses);
+  fixture.answer_polls_with_current_list(kPollsUntilGraceIsOver);
+  fixture.engine_a.drain_accept_queue();
+
+  REQUIRE((Clock::now() - announced_at > kGracePeriod + kGraceSlack));
+  // The kernel connects when it repeats its attempt, a second or two later.
+  const auto late_request = fixture.engine_a.next_command(2500ms);
+  INFO(fixture.process.log());
+  CHECK_FALSE(late_request);
+  if (late_request) return;
+  const auto request = fixture.engine_b.next_command(kWaitLimit);
+  REQUIRE(request);
+  CHECK(request->starts_with("REQ "));
+  fixture.engine_b.send(fixture.engine_b.format_response("data", "parts=1", "ok\n"));
+  const auto response = fixture.client->next_frame();
+  REQUIRE(response);
+  CHECK(response->payload.front() == static_cast<char>(frames::kServed));
+}
+
+}  // namespace
+}  // namespace rookproxy::test
