Count a drain from its lost announcement also behind older lists; move what waits at once

Cause: a response with an older list ended the wait for a lost one and closed its query. And nothing tells a response that repeats the present list from a lagging server's, so an attempt that waits for a connection could still leave after the grace. Change: only a response with the newest list ends the wait (policy/unanswered_polls); an older one leaves its query open; what waits unsent for a draining engine goes elsewhere at once where another engine serves, else it may use the grace as before. The test that let it wait for a drained engine beside a serving one is replaced by two: elsewhere at once, and within the grace alone; a third keeps the short grace.

--- a/src/discovery/dns_discovery_client.cpp
+++ b/src/discovery/dns_discovery_client.cpp
@@ -95,7 +95,7 @@
     path_.on_socket_opened();
   }
   if (!current_socket().fd && !open_socket(current_socket())) return;
-  if (!first_unanswered_at_) first_unanswered_at_ = loop_.now();
+  unanswered_polls_.on_poll_sent(loop_.now());
   report_path_event(path_.on_poll_sent(), "");
   const auto id = static_cast<std::uint16_t>(random_());
   const bool first_on_socket = !std::exchange(current_socket().used, true);
@@ -148,29 +148,24 @@
     ++metrics_.unusable_responses;
     return;  // a whole one may still come, as where a datagram was damaged on its way
   }
-  const Time polled_at = query->sent_at;
-  complete_query(query);
-  update_list(response, polled_at);
+  has_endpoint_list_ = true;
+  update_list(response, *query);
 }
 
-// Queries that were sent before this one may still be answered, but with no newer list.
-void DnsDiscoveryClient::complete_query(std::vector<PendingQuery>::iterator query) {
-  const Time sent_at = query->sent_at;
-  pending_queries_.erase(query);
-  has_endpoint_list_ = true;
-  list_effective_since_ = policy::announced_since(first_unanswered_at_, schedule_.max_pause(), loop_.now());
-  if (first_unanswered_at_ && *first_unanswered_at_ > sent_at) return;
-  const auto later = std::find_if(pending_queries_.begin(), pending_queries_.end(),
-                                  [sent_at](const PendingQuery& other) { return other.sent_at > sent_at; });
-  first_unanswered_at_ = later == pending_queries_.end() ? std::nullopt : std::optional(later->sent_at);
+void DnsDiscoveryClient::complete_query(std::uint16_t id) {
+  std::erase_if(pending_queries_, [id](const PendingQuery& query) { return query.id == id; });
 }
 
-void DnsDiscoveryClient::update_list(const DnsResponse& response, Time polled_at) {
+// A response with an older list does not complete its query, and its poll counts as unanswered: a server that
+// lags has not seen what may have been announced already, in a response that was lost or is still to come.
+void DnsDiscoveryClient::update_list(const DnsResponse& response, const PendingQuery& query) {
   const std::string version = std::to_string(response.version);
-  switch (list_version_.classify(response.version, polled_at, loop_.now())) {
+  list_effective_since_ = unanswered_polls_.announced_since(schedule_.max_pause(), loop_.now());
+  switch (list_version_.classify(response.version, query.sent_at, loop_.now())) {
     case EndpointListVersion::Ordering::kSame:
       ++metrics_.same_lists;
-      return;
+      unanswered_polls_.on_answered(query.sent_at);
+      return complete_query(query.id);
     case EndpointListVersion::Ordering::kOlder:
       ++metrics_.older_lists;
       return;
@@ -187,6 +182,8 @@
       break;
   }
   ++metrics_.newer_lists;
+  unanswered_polls_.on_answered(query.sent_at);
+  complete_query(query.id);
   const auto announced_ago =
       std::chrono::duration_cast<std::chrono::milliseconds>(loop_.now() - list_effective_since_);
   log_.write(LogLevel::kInfo, "directory", "new list",
--- a/src/discovery/dns_discovery_client.h
+++ b/src/discovery/dns_discovery_client.h
@@ -21,6 +21,7 @@
 #include "policy/discovery_path.h"
 #include "policy/endpoint_list_version.h"
 #include "policy/poll_schedule.h"
+#include "policy/unanswered_polls.h"
 
 namespace rookproxy {
 
@@ -76,8 +77,8 @@
   void read_responses(Socket& socket);
   void handle_response(std::string_view message);
   std::vector<PendingQuery>::iterator find_query(std::string_view message);
-  void complete_query(std::vector<PendingQuery>::iterator query);
-  void update_list(const DnsResponse& response, Time polled_at);
+  void complete_query(std::uint16_t id);
+  void update_list(const DnsResponse& response, const PendingQuery& query);
   void report_path_event(policy::DiscoveryPath::Event event, std::string_view error);
 
   EventLoop& loop_;
@@ -98,7 +99,7 @@
   // The latest queries, oldest first: a late response to one of them still counts unless a newer one arrived
   // before it.
   std::vector<PendingQuery> pending_queries_;
-  std::optional<Time> first_unanswered_at_;
+  policy::UnansweredPolls unanswered_polls_;
   Time list_effective_since_;
   bool has_endpoint_list_ = false;
   TimerId poll_timer_{};
--- a/src/dispatcher/engine_registry.cpp
+++ b/src/dispatcher/engine_registry.cpp
@@ -60,6 +60,7 @@
     list.entries.push_back(entry(id));
   }
   remove_unlisted(is_listed, announced_at);
+  stop_draining_engines();
   return list;
 }
 
@@ -68,7 +69,7 @@
   for (EngineId id = 0; id < engines_.size(); ++id) {
     const Engine& engine = engines_[id];
     if (!engine.is_removed()) list.entries.push_back(entry(id));
-    if (!engine.is_serving() && loop_.now() < latest_drain_start(engine)) schedule_drain_end(id);
+    if (engine.is_draining() && loop_.now() < latest_drain_start(engine)) schedule_drain_end(id);
   }
   return list;
 }
@@ -85,6 +86,7 @@
   const bool is_moved = is_new || engine.endpoint.address != endpoint.address ||
                         engine.endpoint.started_at != endpoint.started_at || engine.is_removed();
   const routing::EngineState former_state = std::exchange(engine.endpoint, endpoint).state;
+  if (engine.is_serving()) engine.stopped = false;
   if (!is_new && former_state != endpoint.state) log_state_change(engine, former_state, announced_at);
   if (engine.is_removed()) {
     transport_->stop_new_attempts(id);
@@ -128,10 +130,30 @@
   const Time since = engines_[id].closing_since;
   loop_.run_at(latest_drain_start(engines_[id]), [this, id, since] {
     const Engine& engine = engines_[id];
-    if (!engine.is_serving() && engine.closing_since == since) transport_->stop_new_attempts(id);
+    if (!engine.is_serving() && engine.closing_since == since) stop_draining_engine(id);
   });
 }
 
+// An attempt that waits for a draining engine goes to another engine at once if one serves. It gains nothing
+// by waiting, and the grace period is only known to within what service discovery lost or delayed: a server
+// that lags repeats the present list after the drain was announced elsewhere.
+void EngineRegistry::stop_draining_engines() {
+  if (!has_serving_engine()) return;
+  for (EngineId id = 0; id < engines_.size(); ++id) {
+    if (engines_[id].is_draining()) stop_draining_engine(id);
+  }
+}
+
+void EngineRegistry::stop_draining_engine(EngineId id) {
+  if (std::exchange(engines_[id].stopped, true)) return;
+  transport_->stop_new_attempts(id);
+}
+
+bool EngineRegistry::has_serving_engine() const {
+  return std::any_of(engines_.begin(), engines_.end(),
+                     [](const Engine& engine) { return engine.is_serving(); });
+}
+
 Time EngineRegistry::latest_drain_start(const Engine& engine) const {
   const Duration grace_period = from_routing_duration(settings_.active().drain_grace_period);
   return policy::latest_drain_start(engine.closing_since, grace_period, limits_.drain_margin);
@@ -142,7 +164,7 @@
   if (engine.is_serving()) return Time::max();
   // The address of a removed engine may be another's by now.
   if (engine.is_removed()) return Time::min();
-  return latest_drain_start(engine);
+  return engine.stopped ? engine.closing_since : latest_drain_start(engine);
 }
 
 std::size_t EngineRegistry::listed_count() const {
--- a/src/dispatcher/engine_registry.h
+++ b/src/dispatcher/engine_registry.h
@@ -45,6 +45,7 @@
   // How many engines are listed now.
   [[nodiscard]] std::size_t listed_count() const;
   // Until when attempts may start on the engine: Time::max() while it serves, Time::min() once it is removed.
+  // On one that drains they may start until the end of its grace period, unless another engine serves.
   [[nodiscard]] Time accepts_attempts_until(EngineId id) const;
 
   // Sends a probe, unless one is in flight or the engine is unknown.
@@ -58,10 +59,13 @@
     EngineEndpoint endpoint;
     // When it was announced that the engine drains or was removed.
     Time closing_since{};
+    // No attempt may start on it any more, though it drains and its grace period is not over.
+    bool stopped = false;
     // When the probe that is in flight was sent.
     std::optional<Time> probe_sent_at;
 
     [[nodiscard]] bool is_serving() const { return endpoint.state == routing::EngineState::kServing; }
+    [[nodiscard]] bool is_draining() const { return endpoint.state == routing::EngineState::kDraining; }
     [[nodiscard]] bool is_removed() const { return endpoint.state == routing::EngineState::kRemoved; }
   };
 
@@ -69,6 +73,9 @@
   void remove_unlisted(const std::vector<bool>& is_listed, Time announced_at);
   void start_drain(EngineId id, Time announced_at);
   void schedule_drain_end(EngineId id);
+  void stop_draining_engines();
+  void stop_draining_engine(EngineId id);
+  [[nodiscard]] bool has_serving_engine() const;
   [[nodiscard]] Time latest_drain_start(const Engine& engine) const;
   void log_state_change(const Engine& engine, routing::EngineState former, Time announced_at);
   [[nodiscard]] routing::EngineEntry entry(EngineId id) const;
--- a/src/policy/endpoint_list_version.cpp
+++ b/src/policy/endpoint_list_version.cpp
@@ -35,8 +35,4 @@
   older_since_.reset();
 }
 
-Time announced_since(std::optional<Time> first_unanswered_poll, Duration max_pause, Time now) {
-  return first_unanswered_poll ? std::min(now, *first_unanswered_poll + max_pause) : now;
-}
-
 }  // namespace rookproxy::policy
--- a/src/policy/endpoint_list_version.h
+++ b/src/policy/endpoint_list_version.h
@@ -1,4 +1,4 @@
-// Decides which of two endpoint lists is the newer one, and since when a list counts as announced.
+// Decides which of two endpoint lists is the newer one.
 #pragma once
 
 #include <cstdint>
@@ -38,9 +38,4 @@
   std::optional<Time> older_since_;  // when the first older list came whose poll was sent after that
 };
 
-// Since when the content of a list received at `now` may have been announced to this process: the time of
-// `first_unanswered_poll`, the first poll that was sent after the last answered one, if there is one.
-// `max_pause` is the longest time between two polls, which drain_margin() covers already.
-[[nodiscard]] Time announced_since(std::optional<Time> first_unanswered_poll, Duration max_pause, Time now);
-
 }  // namespace rookproxy::policy
--- a/tests/discovery/dns_discovery_client_test.cpp
+++ b/tests/discovery/dns_discovery_client_test.cpp
@@ -121,14 +121,31 @@
 
 TEST_CASE("drains: since when a list counts as announced, by what went unanswered before it") {
   struct Case {
-    std::optional<Time> first_unanswered;
-    Duration reported;
+    std::string steps;  // a poll in each second from 1 s on; o: answered with the newest list, x: not
+    Duration reported;  // of a list that is received at 10 s
   };
-  for (const auto& [first_unanswered, reported] :
-       {Case{std::nullopt, 10s}, Case{Time(9950ms), 10s}, Case{Time(9780ms), 10s}, Case{Time(9s), 9220ms},
-        Case{Time(1s), 1220ms}}) {
-    CHECK(policy::announced_since(first_unanswered, 220ms, Time(10s)) == Time(reported));
+  for (const auto& [steps, reported] : {Case{"", 10s}, Case{"oooo", 10s}, Case{"xoxo", 10s},
+                                        Case{"oooxxxxx", 4220ms}, Case{"x", 1220ms}, Case{"oox", 3220ms}}) {
+    INFO(steps);
+    policy::UnansweredPolls polls;
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+      const Time sent_at(std::chrono::seconds(i + 1));
+      polls.on_poll_sent(sent_at);
+      if (steps[i] == 'o') polls.on_answered(sent_at);
+    }
+    CHECK(polls.announced_since(220ms, Time(10s)) == Time(reported));
   }
+  policy::UnansweredPolls recent;
+  recent.on_poll_sent(Time(9950ms));
+  CHECK(recent.announced_since(220ms, Time(10s)) == Time(10s));
+  policy::UnansweredPolls overtaken;  // a late response to an earlier poll opens no closed one again
+  for (const auto at : {1s, 2s, 3s}) overtaken.on_poll_sent(Time(at));
+  overtaken.on_answered(Time(3s));
+  overtaken.on_answered(Time(1s));
+  CHECK(overtaken.announced_since(220ms, Time(10s)) == Time(10s));
+  policy::UnansweredPolls outage;  // however long: the first poll is not forgotten
+  for (int i = 1; i <= 1000; ++i) outage.on_poll_sent(Time(std::chrono::milliseconds(i)));
+  CHECK(outage.announced_since(220ms, Time(10s)) == Time(221ms));
 }
 
 // A server in the test's own loop; the test responds to each query, delays or drops it.
--- a/tests/dispatcher/dispatcher_test.cpp
+++ b/tests/dispatcher/dispatcher_test.cpp
@@ -163,14 +163,28 @@
 
 TEST_CASE("dispatcher: unsent attempts for a draining engine are stopped before the grace period ends") {
   DispatcherFixture fixture;
-  fixture.update_endpoints({make_endpoint("a", kUp), make_endpoint("b", kUp)});
-  fixture.update_endpoints({make_endpoint("a", EngineState::kDraining), make_endpoint("b", kUp)});
+  fixture.update_endpoints({make_endpoint("a", kUp)});
+  fixture.update_endpoints({make_endpoint("a", EngineState::kDraining)});  // and no engine serves
   const Time announced_at = fixture.loop.now();
+  CHECK(fixture.stopped_engines.empty());
   CHECK(fixture.run_until([&] { return !fixture.stopped_engines.empty(); }));
   CHECK(fixture.stopped_engines == std::vector<EngineId>{0});
   CHECK(fixture.loop.now() - announced_at >= 1s);
 }
 
+TEST_CASE("dispatcher: unsent attempts for a draining engine are stopped at once where another serves") {
+  // Guards against attempts that wait on while the grace period, which may have begun unheard, runs out.
+  DispatcherFixture fixture;
+  fixture.update_endpoints({make_endpoint("a", kUp)});
+  fixture.update_endpoints({make_endpoint("a", EngineState::kDraining)});
+  CHECK(fixture.stopped_engines.empty());
+  fixture.update_endpoints({make_endpoint("a", EngineState::kDraining), make_endpoint("b", kUp)});
+  CHECK(fixture.stopped_engines == std::vector<EngineId>{0});
+  fixture.update_endpoints({make_endpoint("a", kUp), make_endpoint("b", kUp)});
+  fixture.update_endpoints({make_endpoint("a", EngineState::kDraining), make_endpoint("b", kUp)});
+  CHECK(fixture.stopped_engines == std::vector<EngineId>{0, 0});  // a second drain as well
+}
+
 TEST_CASE("dispatcher: a request beyond the buffer limit is rejected at once, with a time to retry") {
   DispatcherFixture fixture;
   fixture.update_endpoints({make_endpoint("a", kUp)});
--- a/tests/integration/deployments_test.cpp
+++ b/tests/integration/deployments_test.cpp
@@ -453,17 +453,13 @@
   CHECK_FALSE(test::wait_until_readable(listener, 0ms));
 }
 
-TEST_CASE(
-    "drains: a request whose connection comes up after a short grace goes elsewhere, within a long one it "
-    "runs") {
-  // The kernel tries again a second after a full queue dropped the first try: over a grace of 0.5 s, within 5
-  // s.
-  const std::string begin = R"(
+TEST_CASE("drains: what waits for a draining engine goes elsewhere at once, or uses the grace if it has to") {
+  // The kernel tries again a second after a full queue dropped the first try.
+  const std::string until_it_waits = R"(
     engines a b
     set /directory_poll_ms 200
     set /settings/permissions/dial_timeout 5000000
-    set /settings/safety/drain_grace )";
-  const std::string until_it_waits = R"(
+    set /settings/safety/drain_grace 5000000
     start
     directory a=up
     fill a
@@ -471,19 +467,40 @@
     send c request 1 load 9000 INSERT INTO s_1.t VALUES (1)
     send c ready 1
     expect c ready 0
+    )";
+  run_scenario(until_it_waits + R"(
     directory a=draining b=up
-    let a)";
-  run_scenario(begin + "500000" + until_it_waits + R"(
+    let a
     expect b REQ
     send b data parts=1 ok\n
     expect c served 1 ok\n
     expect a nothing 1000)");
-  run_scenario(begin + "5000000" + until_it_waits + R"(
+  run_scenario(until_it_waits + R"(
+    directory a=draining
+    let a
     expect a REQ
     send a data parts=1 ok\n
     expect c served 1 ok\n)");
 }
 
+TEST_CASE("drains: a request whose connection comes up after a short grace does not leave") {
+  run_scenario(R"(
+    engines a
+    set /directory_poll_ms 200
+    set /settings/permissions/dial_timeout 5000000
+    set /settings/safety/drain_grace 500000
+    start
+    directory a=up
+    fill a
+    client c
+    send c request 1 load 9000 INSERT INTO s_1.t VALUES (1)
+    send c ready 1
+    expect c ready 0
+    directory a=draining
+    let a
+    expect a nothing 2000)");
+}
+
 TEST_CASE("refusals for lack of room say no longer than clients are ready to stay away") {
   run_scenario(R"(
     engines a
