Confirm endpoint lists before they allow work; versions of two counts do not compare

Change: discovery/endpoint_list_tracker joins versions with policy/endpoint_confirmation: what forbids takes effect at once, also a drain in an older list; what allows needs a second response, after a drain five; what two contradicting responses leave out gets no work; a list that came once is dropped after three against it.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -202,7 +202,8 @@
   } else {
     discovery_ = std::make_unique<DnsDiscoveryClient>(
         loop_, log_, metrics_.discovery, *config.nameserver, config.service, config.discovery_poll_interval,
-        config.initial_endpoints_version, config.seed, [this](const std::vector<EngineEndpoint>& endpoints) {
+        KnownEndpoints{config.initial_endpoints_version, config.initial_endpoints}, config.seed,
+        [this](const std::vector<EngineEndpoint>& endpoints) {
           dispatcher_.update_endpoints(endpoints, false, discovery_->list_effective_since());
         });
   }
--- a/src/discovery/dns_discovery_client.cpp
+++ b/src/discovery/dns_discovery_client.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 using policy::DiscoveryPath;
-using policy::EndpointListVersion;
 
 // More than are sent from two sockets before a third one is opened.
 constexpr std::size_t kMaxPendingQueries = 64;
@@ -27,15 +26,16 @@
 
 DnsDiscoveryClient::DnsDiscoveryClient(EventLoop& loop, Logger& log, DiscoveryMetrics& metrics,
                                        const SocketAddress& server, std::string service,
-                                       Duration poll_interval, std::uint64_t version, std::uint64_t seed,
-                                       UpdateHandler on_update)
+                                       Duration poll_interval, const KnownEndpoints& known,
+                                       std::uint64_t seed, UpdateHandler on_update)
     : loop_(loop),
       log_(log),
       metrics_(metrics),
       server_(server),
       service_(std::move(service)),
       schedule_(poll_interval),
-      list_version_(static_cast<std::uint32_t>(version), loop.now()),
+      lists_(known, loop.now()),
+      reported_endpoints_(known.endpoints),
       random_(seed),
       on_update_(std::move(on_update)),
       list_effective_since_(loop.now()) {
@@ -140,7 +140,7 @@
   if (message.size() < kDnsHeaderSize) return;
   const auto query = find_query(message);
   if (query == pending_queries_.end()) return;
-  const DnsResponse response = parse_dns_response(message, query->id, service_);
+  DnsResponse response = parse_dns_response(message, query->id, service_);
   if (response.error == DnsError::kMismatched) return;  // the true response may still come under this id
   const bool is_usable = response.error == DnsError::kNone;
   report_path_event(path_.on_response(query->first_on_socket, is_usable), dns_error_text(response.error));
@@ -149,48 +149,82 @@
     return;  // a whole one may still come, as where a datagram was damaged on its way
   }
   has_endpoint_list_ = true;
-  update_list(response, *query);
+  handle_list(std::move(response), *query);
 }
 
-void DnsDiscoveryClient::complete_query(std::uint16_t id) {
-  std::erase_if(pending_queries_, [id](const PendingQuery& query) { return query.id == id; });
-}
-
-// A response with an older list does not complete its query, and its poll counts as unanswered: a server that
-// lags has not seen what may have been announced already, in a response that was lost or is still to come.
-void DnsDiscoveryClient::update_list(const DnsResponse& response, const PendingQuery& query) {
-  const std::string version = std::to_string(response.version);
+// A response that contradicts the newest list does not complete its query, and its poll counts as unanswered:
+// a server that lags has not seen what may have been announced already, in a response that was lost or is
+// still to come.
+void DnsDiscoveryClient::handle_list(DnsResponse response, PendingQuery& query) {
+  using Ordering = EndpointListTracker::Ordering;
+  const std::uint32_t version = response.version;
+  const std::size_t engine_count = response.endpoints.size();
   list_effective_since_ = unanswered_polls_.announced_since(schedule_.max_pause(), loop_.now());
-  switch (list_version_.classify(response.version, query.sent_at, loop_.now())) {
-    case EndpointListVersion::Ordering::kSame:
-      ++metrics_.same_lists;
-      unanswered_polls_.on_answered(query.sent_at);
-      return complete_query(query.id);
-    case EndpointListVersion::Ordering::kOlder:
-      ++metrics_.older_lists;
-      return;
-    case EndpointListVersion::Ordering::kSuspectedRestart:
+  const bool was_contradicted = lists_.is_contradicted();
+  const Ordering ordering = lists_.take({version, std::move(response.endpoints), query.sent_at, loop_.now()});
+  log_list(ordering, version, engine_count, !was_contradicted && lists_.is_contradicted());
+  switch (ordering) {
+    case Ordering::kOvertaken:
+    case Ordering::kFirstContradicting:
+    case Ordering::kContradicting:
       ++metrics_.older_lists;
-      log_.write(LogLevel::kWarning, "directory",
-                 "the serial went back; the newer list stays in force for now", {{"serial", version}});
-      return;
-    case EndpointListVersion::Ordering::kServerRestarted:
-      log_.write(LogLevel::kWarning, "directory", "older serials alone: the directory counts anew",
-                 {{"serial", version}});
       break;
-    case EndpointListVersion::Ordering::kNewer:
+    case Ordering::kSame:
+      ++metrics_.same_lists;
+      complete_query(query);
+      break;
+    case Ordering::kNewer:
+    case Ordering::kNewestRefuted:
+    case Ordering::kServerRestarted:
+      ++metrics_.newer_lists;
+      complete_query(query);
       break;
   }
-  ++metrics_.newer_lists;
+  report_changed_list();
+}
+
+void DnsDiscoveryClient::complete_query(const PendingQuery& query) {
   unanswered_polls_.on_answered(query.sent_at);
-  complete_query(query.id);
+  std::erase_if(pending_queries_, [id = query.id](const PendingQuery& other) { return other.id == id; });
+}
+
+void DnsDiscoveryClient::report_changed_list() {
+  if (lists_.usable_endpoints() == reported_endpoints_) return;
+  reported_endpoints_ = lists_.usable_endpoints();
+  on_update_(reported_endpoints_);
+}
+
+void DnsDiscoveryClient::log_list(EndpointListTracker::Ordering ordering, std::uint32_t version,
+                                  std::size_t engine_count, bool newly_contradicted) {
+  using Ordering = EndpointListTracker::Ordering;
+  const std::string serial = std::to_string(version);
+  const std::string engines = std::to_string(engine_count);
+  if (newly_contradicted) {
+    log_.write(LogLevel::kWarning, "directory",
+               "responses contradict the newest list: what either withholds gets no new requests",
+               {{"serial", serial}, {"engines", engines}});
+  }
+  if (ordering == Ordering::kFirstContradicting) {
+    log_.write(LogLevel::kWarning, "directory", "the serial went back; the newer list stays in force for now",
+               {{"serial", serial}});
+  }
+  if (ordering == Ordering::kServerRestarted) {
+    log_.write(LogLevel::kWarning, "directory", "older serials alone: the directory counts anew",
+               {{"serial", serial}});
+  }
+  if (ordering == Ordering::kNewestRefuted) {
+    log_.write(LogLevel::kWarning, "directory",
+               "a list that came once was contradicted since, and is dropped", {{"serial", serial}});
+  }
+  if (ordering != Ordering::kNewer && ordering != Ordering::kServerRestarted &&
+      ordering != Ordering::kNewestRefuted) {
+    return;
+  }
   const auto announced_ago =
       std::chrono::duration_cast<std::chrono::milliseconds>(loop_.now() - list_effective_since_);
-  log_.write(LogLevel::kInfo, "directory", "new list",
-             {{"serial", version},
-              {"engines", std::to_string(response.endpoints.size())},
-              {"announced_ms", std::to_string(announced_ago.count())}});
-  on_update_(response.endpoints);
+  log_.write(
+      LogLevel::kInfo, "directory", "new list",
+      {{"serial", serial}, {"engines", engines}, {"announced_ms", std::to_string(announced_ago.count())}});
 }
 
 void DnsDiscoveryClient::report_path_event(DiscoveryPath::Event event, std::string_view error) {
--- a/src/discovery/dns_discovery_client.h
+++ b/src/discovery/dns_discovery_client.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "discovery/dns.h"
+#include "discovery/endpoint_list_tracker.h"
 #include "dispatcher/engine_endpoint.h"
 #include "dispatcher/metrics.h"
 #include "log/log.h"
@@ -19,7 +20,6 @@
 #include "net/slot_map.h"
 #include "net/socket_address.h"
 #include "policy/discovery_path.h"
-#include "policy/endpoint_list_version.h"
 #include "policy/poll_schedule.h"
 #include "policy/unanswered_polls.h"
 
@@ -30,14 +30,15 @@
 /// metrics must outlive it.
 class DnsDiscoveryClient final {
  public:
-  /// Called with each newer list, from the event loop.
+  /// Called with the endpoint list whenever it has changed, from the event loop. Engines that may get no new
+  /// work for now, since responses contradict each other about them, are draining in it or left out.
   using UpdateHandler = std::function<void(const std::vector<EngineEndpoint>&)>;
 
-  /// Starts polling at once, then about every `poll_interval`. `version` is that of the list known at the
-  /// start, and only later ones are reported; `seed` is that of query ids and of the jitter between polls.
+  /// Starts polling at once, then about every `poll_interval`. `known` is the list at the start, and only
+  /// later ones are reported; `seed` is that of query ids and of the jitter between polls.
   DnsDiscoveryClient(EventLoop& loop, Logger& log, DiscoveryMetrics& metrics, const SocketAddress& server,
-                     std::string service, Duration poll_interval, std::uint64_t version, std::uint64_t seed,
-                     UpdateHandler on_update);
+                     std::string service, Duration poll_interval, const KnownEndpoints& known,
+                     std::uint64_t seed, UpdateHandler on_update);
   ~DnsDiscoveryClient();
   DnsDiscoveryClient(const DnsDiscoveryClient&) = delete;
   DnsDiscoveryClient& operator=(const DnsDiscoveryClient&) = delete;
@@ -77,8 +78,11 @@
   void read_responses(Socket& socket);
   void handle_response(std::string_view message);
   std::vector<PendingQuery>::iterator find_query(std::string_view message);
-  void complete_query(std::uint16_t id);
-  void update_list(const DnsResponse& response, const PendingQuery& query);
+  void handle_list(DnsResponse response, PendingQuery& query);
+  void complete_query(const PendingQuery& query);
+  void report_changed_list();
+  void log_list(EndpointListTracker::Ordering ordering, std::uint32_t version, std::size_t engine_count,
+                bool newly_contradicted);
   void report_path_event(policy::DiscoveryPath::Event event, std::string_view error);
 
   EventLoop& loop_;
@@ -88,7 +92,8 @@
   std::string service_;
   policy::PollSchedule schedule_;
   policy::DiscoveryPath path_;
-  policy::EndpointListVersion list_version_;
+  EndpointListTracker lists_;
+  std::vector<EngineEndpoint> reported_endpoints_;  // as on_update_ was told last
   std::mt19937_64 random_;
   UpdateHandler on_update_;
   // Both descriptors are held from the start, so that a new socket reuses one of them: clients and engines
--- a/src/policy/endpoint_list_version.cpp
+++ b/src/policy/endpoint_list_version.cpp
@@ -11,28 +11,38 @@
 
 }  // namespace
 
-EndpointListVersion::Ordering EndpointListVersion::classify(std::uint32_t version, Time polled_at, Time now) {
+EndpointListVersion::Ordering EndpointListVersion::classify(std::uint32_t version, bool has_newest_content,
+                                                            Time polled_at, Time now) {
   // Serial number arithmetic (RFC 1982): the difference is signed, so that wrapped versions compare
   // correctly.
   const auto ahead = static_cast<std::int32_t>(version - version_);
-  if (ahead >= 0) {
+  if (ahead > 0 || (ahead == 0 && has_newest_content)) {
     accept(version, now);
+    is_confirmed_ = ahead == 0;
     return ahead > 0 ? Ordering::kNewer : Ordering::kSame;
   }
-  if (polled_at <= version_seen_at_) return Ordering::kOlder;
-  if (!older_since_) {
-    older_since_ = now;
-    return Ordering::kSuspectedRestart;
+  if (polled_at <= version_seen_at_ || polled_at <= contradicting_poll_) return Ordering::kOvertaken;
+  contradicting_poll_ = polled_at;
+  if (++contradictions_ >= kContradictionsToRefute && !is_confirmed_) {
+    accept(version, now);
+    is_confirmed_ = true;  // by the responses before it
+    return Ordering::kNewestRefuted;
+  }
+  if (!contradicted_since_) {
+    contradicted_since_ = now;
+    return Ordering::kFirstContradicting;
   }
-  if (now - *older_since_ < kMaxPropagationDelay) return Ordering::kOlder;
+  if (now - *contradicted_since_ < kMaxPropagationDelay) return Ordering::kContradicting;
   accept(version, now);
+  is_confirmed_ = true;
   return Ordering::kServerRestarted;
 }
 
 void EndpointListVersion::accept(std::uint32_t version, Time now) {
   version_ = version;
   version_seen_at_ = now;
-  older_since_.reset();
+  contradicted_since_.reset();
+  contradictions_ = 0;
 }
 
 }  // namespace rookproxy::policy
