Failing tests: system calls that fail for a moment at the start and while clients are accepted

Cause: a lack of the process or host ends the start with an exit code, and one ENFILE or EMFILE of accept4 gives up the reserve descriptor and closes the next client's connection.

--- /dev/null
+++ b/tests/integration/failing_calls_test.cpp
@@ -0,0 +1,84 @@
+// System calls of a dispatcher's process fail for a moment, as for a process or host that is short of
+// something.
+#include <catch2/catch.hpp>
+#include <cerrno>
+#include <fstream>
+#include <optional>
+#include <string>
+
+#include "fakes/auto_reply_line_engine.h"
+#include "fakes/fake_discovery_server.h"
+#include "fakes/temporary_directory.h"
+#include "fakes/test_connection.h"
+#include "frontend/frame_codec.h"
+#include "support/dispatcher_config.h"
+#include "support/dispatcher_process.h"
+#include "support/frames_client.h"
+#include "support/request_frame.h"
+
+namespace rookproxy::test {
+namespace {
+
+// A dispatcher with one engine and service discovery, in whose process calls fail.
+class FailingCallsFixture {
+ public:
+  explicit FailingCallsFixture(const std::string& failing_calls) {
+    nlohmann::json config = default_dispatcher_config();
+    config["nameserver"] = loopback_address(discovery_.port());
+    config["known"]["batch"] = make_known_batch({{"a", engine_.port()}});
+    std::ofstream(directory_.file("config.json")) << config.dump();
+    DispatcherOptions options{directory_.path(), directory_.file("log")};
+    options.failing_calls = failing_calls;
+    process.start(options);
+  }
+
+  // Whether a lookup on a new connection gets its rows.
+  [[nodiscard]] bool serves_new_client() const {
+    FramesClient client(TestConnection::connect(process.port_logged_with("serving frames")));
+    client.send(encode_request_frame(1, {{"op", "lookup"}, {"call", format_call_id(1)}, {"ttl", "2900"}},
+                                     "SELECT 1"));
+    const auto response = client.next_frame();
+    return response && response->type == frames::kResponse && !response->payload.empty() &&
+           response->payload.front() == static_cast<char>(frames::kServed);
+  }
+
+  DispatcherProcess process;
+
+ private:
+  TemporaryDirectory directory_;
+  FakeDiscoveryServer discovery_;
+  AutoReplyLineEngine engine_;
+};
+
+TEST_CASE("failing calls: what is lacking for a moment at the start is waited for") {
+  // Guards against an exit as for a wrong configuration.
+  for (const std::string call : {"epoll_create1", "epoll_ctl", "socket", "listen", "signalfd"}) {
+    for (const int error : {ENFILE, ENOMEM}) {
+      for (const int first : {1, 2}) {
+        if (first == 2 && (call == "epoll_create1" || call == "signalfd")) continue;  // called once
+        const std::string fault = call + ":" + std::to_string(first) + ":2:" + std::to_string(error);
+        INFO(fault);
+        const FailingCallsFixture fixture(fault);
+        fixture.process.wait_for_log("ready to serve");
+        CHECK(fixture.serves_new_client());
+      }
+    }
+  }
+}
+
+TEST_CASE("failing calls: a lack of descriptors that passes shuts no client out") {
+  // Guards against giving up the reserve descriptor, and a client with it, though the next call would
+  // succeed.
+  for (const int error : {ENFILE, EMFILE, ENOBUFS, ENOMEM, ECONNABORTED, EINTR}) {
+    INFO(error);
+    const FailingCallsFixture fixture("accept4:every:2:" + std::to_string(error));
+    fixture.process.wait_for_log("ready to serve");
+    int served = 0;
+    constexpr int kClients = 12;
+    for (int client = 0; client < kClients; ++client) served += fixture.serves_new_client() ? 1 : 0;
+    CHECK(served == kClients);
+  }
+}
+
+}  // namespace
+}  // namespace rookproxy::test
--- a/tests/support/dispatcher_process.cpp
+++ b/tests/support/dispatcher_process.cpp
@@ -49,6 +49,12 @@
 [[noreturn]] void execute(const DispatcherOptions& options, const std::vector<FileDescriptor>& sockets) {
   ::setenv("NODE_CONFIG", (options.directory + "/config.json").c_str(), 1);
   ::setenv("TMPDIR", options.directory.c_str(), 1);
+  if (!options.failing_calls.empty()) {
+    ::setenv("ROOKPROXY_FAILING_CALLS", options.failing_calls.c_str(), 1);
+    ::setenv("LD_PRELOAD", ROOKPROXY_FAILING_CALLS_LIBRARY, 1);
+    // In a build with sanitizers their library comes behind the preloaded one.
+    ::setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
+  }
   pass_sockets(sockets);
   if (std::freopen(options.log_path.c_str(), "w", stderr) == nullptr) ::_exit(kStartFailed);
   if (options.has_system_call_filter && !apply_system_call_filter()) ::_exit(kFilterFailed);
--- a/tests/support/dispatcher_process.h
+++ b/tests/support/dispatcher_process.h
@@ -19,6 +19,7 @@
   std::string log_path;            // a file for its standard error
   std::string operator_file = {};  // an operator's file to start with, or empty
   bool has_system_call_filter = false;
+  std::string failing_calls = {};  // as tests/preload/failing_calls.cpp reads them, or empty
 };
 
 /// A running rookproxy, which is killed at the end of its scope. Functions that wait do so for kWaitLimit and
