Wait out a lack at the start, and shut no client out for one that passes

Cause: the start threw on the first ENFILE, ENOMEM or the like, with exit code 1 or 2; the acceptor gave up its reserve descriptor, and a client with it, for one ENFILE or EMFILE though the next call would succeed. Change: net/system_error_class tells a lack of the process from one of the host, used by acceptor, pool and start; the start is tried again with growing pauses for 5 s and logged once; the acceptor shuts a connection only if a descriptor of its own can't be opened.

--- a/src/app/listeners.cpp
+++ b/src/app/listeners.cpp
@@ -2,17 +2,22 @@
 
 #include <cerrno>
 #include <cstring>
+#include <system_error>
 
 #include "config/config_error.h"
 #include "net/file_descriptor.h"
 #include "net/socket_address.h"
 #include "net/sockets.h"
+#include "net/system_error_class.h"
 
 namespace rookproxy {
 
 FileDescriptor open_listener(const SocketAddress& address, const std::string& config_key) {
   FileDescriptor listener = listen_tcp(address);
   if (!listener) {
+    if (is_resource_exhaustion(errno) && errno != EADDRNOTAVAIL) {  // no such address is the key's fault
+      throw std::system_error(errno, std::generic_category(), "listen on " + address.to_string());
+    }
     const std::string reason = std::strerror(errno);
     throw ConfigError(config_key, "can't listen on " + address.to_string() + ": " + reason);
   }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,11 +5,13 @@
 #include <functional>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "app/app.h"
 #include "app/cluster_settings.h"
+#include "app/startup.h"
 #include "auth/auth_settings.h"
 #include "net/event_loop.h"
 #include "net/file_watcher.h"
@@ -56,15 +58,25 @@
   if (options.check_only) return check_configuration(config);
   log.set_host(config.name);
   configure_log(log, config.log);
-  EventLoop loop;
-  App app(loop, log, config);
+  std::optional<EventLoop> loop;
+  std::optional<SignalWatcher> signals;
+  std::optional<App> app;
+  std::unique_ptr<FileWatcher> watch;
   const auto reload = [&] {
-    app.reload(
+    app->reload(
         [&](const Config& running) { return load_config(read_environment(), options.config_file, running); });
   };
-  const SignalWatcher signals(loop, kSignals, [&](int signal) { signal == SIGHUP ? reload() : app.drain(); });
-  const auto watch = watch_configuration(loop, config, options.config_file, reload);
-  loop.run();
+  start_when_resources_allow(log, [&] {
+    // What an earlier try has opened goes first, in the order of who uses whom.
+    watch.reset();
+    app.reset();
+    signals.reset();
+    loop.emplace();
+    signals.emplace(*loop, kSignals, [&](int signal) { signal == SIGHUP ? reload() : app->drain(); });
+    app.emplace(*loop, log, config);
+    watch = watch_configuration(*loop, config, options.config_file, reload);
+  });
+  loop->run();
   // The kernel closes what is still open; to take everything down in order would serve nobody.
   std::cerr.flush();
   ::_exit(kExitSuccess);
--- a/src/net/acceptor.cpp
+++ b/src/net/acceptor.cpp
@@ -8,6 +8,8 @@
 #include <system_error>
 #include <utility>
 
+#include "net/system_error_class.h"
+
 namespace rookproxy {
 namespace {
 
@@ -15,8 +17,12 @@
 constexpr Duration kCapacityRetryInterval = std::chrono::milliseconds(5);
 constexpr Duration kResourceRetryInterval = std::chrono::milliseconds(50);
 
+constexpr Duration kPassingLackRetryInterval = std::chrono::milliseconds(5);
+
 FileDescriptor open_reserve_descriptor() { return FileDescriptor(::open("/dev/null", O_RDONLY | O_CLOEXEC)); }
 
+bool can_open_descriptor() { return static_cast<bool>(open_reserve_descriptor()); }
+
 }  // namespace
 
 Acceptor::Acceptor(EventLoop& loop, FileDescriptor listener, std::function<void(FileDescriptor)> on_accepted,
@@ -62,11 +68,14 @@
 
 // True: accepting goes on at once.
 bool Acceptor::handle_accept_error(int error) {
-  if (error == EINTR || error == ECONNABORTED || error == EPROTO) return true;
-  const bool out_of_descriptors = error == EMFILE || error == ENFILE;
-  if (out_of_descriptors && reserve_descriptor_ && reject_with_reserve()) return true;
-  // Out of descriptors with no reserve, or of kernel memory: the connections that wait cause no further edge.
-  if (error != EAGAIN && error != EWOULDBLOCK) retry_after(kResourceRetryInterval);
+  const SystemErrorClass error_class = classify_system_error(error);
+  if (error_class == SystemErrorClass::kTransient) return true;
+  if (error_class == SystemErrorClass::kWouldBlock) return false;
+  // Connections that wait cause no further edge. They are shut only while this process itself has no room
+  // left: a lack that passes, or that of the host, ends sooner than a client that is turned away comes back.
+  const bool process_is_full = error_class == SystemErrorClass::kProcessExhausted && !can_open_descriptor();
+  if (process_is_full && reserve_descriptor_ && reject_with_reserve()) return true;
+  retry_after(process_is_full ? kResourceRetryInterval : kPassingLackRetryInterval);
   return false;
 }
 
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -11,6 +11,7 @@
 #include "net/slot_map.h"
 #include "net/socket_address.h"
 #include "net/sockets.h"
+#include "net/system_error_class.h"
 #include "upstream/connect_retry.h"
 
 namespace rookproxy {
@@ -18,13 +19,6 @@
 
 constexpr Duration kCapacityRetryInterval = std::chrono::milliseconds(5);
 
-// Errors that say that this process or its host lacks something, rather than anything about the peer or the
-// way to it.
-bool is_resource_exhaustion(int error) {
-  return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM ||
-         error == EADDRNOTAVAIL || error == EAGAIN;
-}
-
 }  // namespace
 
 ConnectionPool::ConnectionPool(EventLoop& loop, Logger& log, EngineTransportCallbacks& callbacks,
@@ -76,7 +70,8 @@
   }
   FileDescriptor socket = connect_tcp(engines_[engine].address);
   while (!socket) {
-    if (!is_resource_exhaustion(errno)) return {nullptr, OpenError::kRefused};
+    // A connect that would block at once has found no free local port.
+    if (!is_resource_exhaustion(errno) && errno != EAGAIN) return {nullptr, OpenError::kRefused};
     if (!close_idle_connection()) return {nullptr, OpenError::kResourcesExhausted};
     socket = connect_tcp(engines_[engine].address);
   }
--- a/tests/support/dispatcher_process.cpp
+++ b/tests/support/dispatcher_process.cpp
@@ -115,7 +115,7 @@
   wait_for_log(message);
   const std::string text = log();
   const std::string field = "port=\"";
-  const auto at = text.substr(0, text.find(" " + message)).rfind(field);
+  const auto at = text.substr(0, text.rfind(" " + message)).rfind(field);
   return static_cast<std::uint16_t>(std::stoi(text.substr(at + field.size())));
 }
 
--- a/tests/support/dispatcher_process.h
+++ b/tests/support/dispatcher_process.h
@@ -46,7 +46,8 @@
   /// The port on which it answers operators, once it does.
   [[nodiscard]] std::uint16_t admin_port() const;
 
-  /// Waits until the log holds `message`, and returns the last value of the field port before it.
+  /// Waits until the log holds `message`, and returns the last value of the field port before its last
+  /// occurrence: a start that was tried again logs it once a try.
   [[nodiscard]] std::uint16_t port_logged_with(const std::string& message) const;
 
   void send_signal(int number) const;
