--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -10,6 +10,7 @@
 #include "app/limits.h"
 #include "app/listeners.h"
 #include "app/reload.h"
+#include "log/log_fields.h"
 #include "net/event_loop.h"
 #include "upstream/line_protocol_connection.h"
 #include "upstream/mysql_pool.h"
@@ -125,8 +126,7 @@
 void App::observe_loop() {
   loop_.on_iteration_end([this] { dispatcher_.process_events(); });
   loop_.on_stalled_iteration(kStalledIteration, [this](Duration took) {
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(took).count();
-    log_.write(LogLevel::kWarning, "loop", "stood still", {{"ms", std::to_string(milliseconds)}});
+    log_.write(LogLevel::kWarning, "loop", "stood still", {{"ms", milliseconds_field(took)}});
   });
 }
 
--- a/src/auth/audit_log.h
+++ b/src/auth/audit_log.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string_view>
 
-#include "dispatcher/figures.h"
+#include "dispatcher/metrics.h"
 #include "log/log.h"
 #include "net/event_loop.h"
 #include "policy/denial.h"
--- a/src/auth/authenticator.h
+++ b/src/auth/authenticator.h
@@ -13,7 +13,7 @@
 
 #include "auth/audit_log.h"
 #include "auth/auth_settings.h"
-#include "dispatcher/figures.h"
+#include "dispatcher/metrics.h"
 #include "log/log.h"
 #include "net/event_loop.h"
 #include "policy/authorization.h"
--- a/src/discovery/dns.h
+++ b/src/discovery/dns.h
@@ -7,7 +7,10 @@
 #include <string_view>
 #include <vector>
 
-#include "dispatcher/interfaces.h"
+#include "dispatcher/engine_endpoint.h"
+#include "dispatcher/engine_transport.h"
+#include "dispatcher/request.h"
+#include "dispatcher/routing_time.h"
 
 namespace rookproxy {
 
--- a/src/discovery/dns_discovery_client.cpp
+++ b/src/discovery/dns_discovery_client.cpp
@@ -1,4 +1,6 @@
 #include "discovery/dns_discovery_client.h"
+
+#include "log/log_fields.h"
 #include "net/event_loop.h"
 #include "net/socket_address.h"
 #include "net/sockets.h"
@@ -220,11 +222,10 @@
       ordering != Ordering::kNewestRefuted) {
     return;
   }
-  const auto announced_ago =
-      std::chrono::duration_cast<std::chrono::milliseconds>(loop_.now() - list_effective_since_);
-  log_.write(
-      LogLevel::kInfo, "directory", "new list",
-      {{"serial", serial}, {"engines", engines}, {"announced_ms", std::to_string(announced_ago.count())}});
+  log_.write(LogLevel::kInfo, "directory", "new list",
+             {{"serial", serial},
+              {"engines", engines},
+              {"announced_ms", milliseconds_field(loop_.now() - list_effective_since_)}});
 }
 
 void DnsDiscoveryClient::report_path_event(DiscoveryPath::Event event, std::string_view error) {
--- a/src/dispatcher/engine_registry.cpp
+++ b/src/dispatcher/engine_registry.cpp
@@ -1,12 +1,12 @@
 #include "dispatcher/engine_registry.h"
 
 #include <algorithm>
-#include <chrono>
 #include <cstdint>
 #include <string_view>
 #include <utility>
 
 #include "dispatcher/routing_time.h"
+#include "log/log_fields.h"
 #include "policy/drain.h"
 
 namespace rookproxy {
@@ -42,10 +42,6 @@
   return "";
 }
 
-std::string to_milliseconds(Duration duration) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 }  // namespace
 
 routing::EngineList EngineRegistry::update(const std::vector<EngineEndpoint>& endpoints, bool is_cached,
@@ -116,7 +112,7 @@
               {"address", engine.endpoint.address.to_string()},
               {"from", std::string(to_text(former))},
               {"to", std::string(to_text(engine.endpoint.state))},
-              {"announced_ms", to_milliseconds(loop_.now() - announced_at)},
+              {"announced_ms", milliseconds_field(loop_.now() - announced_at)},
               {"left_out", std::to_string(suppressed)}});
 }
 
--- a/src/dispatcher/figures.h
+++ /dev/null
@@ -1,4 +0,0 @@
-// Forwards to the header of the metrics.
-#pragma once
-
-#include "dispatcher/metrics.h"
--- a/src/dispatcher/request_log.cpp
+++ b/src/dispatcher/request_log.cpp
@@ -1,17 +1,14 @@
 #include "dispatcher/request_log.h"
 
-#include <chrono>
 #include <string>
 
+#include "log/log_fields.h"
+
 namespace rookproxy {
 namespace {
 
 constexpr std::string_view kLogId = "dispatcher";
 
-std::string to_milliseconds(Duration duration) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 std::string_view to_text(routing::Outcome outcome) {
   switch (outcome) {
     case routing::Outcome::kServed:
@@ -70,8 +67,8 @@
              {{"request", request.incoming.query->id},
               {"attempt", std::to_string(number)},
               {"engine", std::string(engine)},
-              {"waited_ms", to_milliseconds(now - request.attempts[number].sent_at)},
-              {"remaining_ms", to_milliseconds(remaining)}});
+              {"waited_ms", milliseconds_field(now - request.attempts[number].sent_at)},
+              {"remaining_ms", milliseconds_field(remaining)}});
 }
 
 void RequestLog::attempt_blocked(const Request& request, std::string_view engine, policy::BlockReason reason,
@@ -89,7 +86,7 @@
               {"attempt", std::to_string(number)},
               {"engine", std::string(engine)},
               {"outcome", std::string(to_text(outcome))},
-              {"ms", to_milliseconds(now - request.attempts[number].sent_at)}});
+              {"ms", milliseconds_field(now - request.attempts[number].sent_at)}});
 }
 
 void RequestLog::request_completed(const Request& request, std::string_view class_name,
@@ -101,7 +98,7 @@
               {"class", std::string(class_name)},
               {"cause", std::string(to_text(response.cause))},
               {"attempts", std::to_string(request.attempts.size())},
-              {"remaining_ms", to_milliseconds(request.incoming.deadline - now)}});
+              {"remaining_ms", milliseconds_field(request.incoming.deadline - now)}});
 }
 
 }  // namespace rookproxy
--- a/src/frontend/prepared_statements.h
+++ b/src/frontend/prepared_statements.h
@@ -7,7 +7,10 @@
 #include <memory>
 #include <string>
 
-#include "dispatcher/interfaces.h"
+#include "dispatcher/engine_endpoint.h"
+#include "dispatcher/engine_transport.h"
+#include "dispatcher/request.h"
+#include "dispatcher/routing_time.h"
 #include "mysql/protocol.h"
 
 namespace rookproxy {
--- a/src/tls/server_channel.h
+++ b/src/tls/server_channel.h
@@ -25,8 +25,8 @@
   bool receive(std::string_view bytes, std::string& plain, std::string& out) override;
   void seal(std::string_view plain, std::string& out) override;
   void finish(std::string& out) override;
-  bool is_handshake_complete() const override;
-  std::string end_reason() const override { return end_reason_; }
+  [[nodiscard]] bool is_handshake_complete() const override;
+  [[nodiscard]] std::string end_reason() const override { return end_reason_; }
 
   // The client's certificate, once the handshake is done; empty if it showed none.
   [[nodiscard]] std::optional<policy::CertificateInfo> peer_certificate() const;
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -10,8 +10,11 @@
 #include <string_view>
 #include <vector>
 
-#include "dispatcher/figures.h"
-#include "dispatcher/interfaces.h"
+#include "dispatcher/engine_endpoint.h"
+#include "dispatcher/engine_transport.h"
+#include "dispatcher/metrics.h"
+#include "dispatcher/request.h"
+#include "dispatcher/routing_time.h"
 #include "log/log.h"
 #include "log/log_budget.h"
 #include "net/event_loop.h"
--- a/src/upstream/engine_connection.h
+++ b/src/upstream/engine_connection.h
@@ -8,7 +8,10 @@
 #include <string>
 #include <string_view>
 
-#include "dispatcher/interfaces.h"
+#include "dispatcher/engine_endpoint.h"
+#include "dispatcher/engine_transport.h"
+#include "dispatcher/request.h"
+#include "dispatcher/routing_time.h"
 #include "net/event_loop.h"
 #include "net/file_descriptor.h"
 #include "net/slot_map.h"
--- a/tests/integration/deployments_test.cpp
+++ b/tests/integration/deployments_test.cpp
@@ -453,13 +453,13 @@
   CHECK_FALSE(test::wait_until_readable(listener, 0ms));
 }
 
-TEST_CASE("drains: what waits for a draining engine goes elsewhere at once, or uses the grace if it has to") {
-  // The kernel tries again a second after a full queue dropped the first try.
-  const std::string until_it_waits = R"(
-    engines a b
+namespace {
+
+// A load waits for its connection to engine a, whose queue is full: the kernel tries again a second later.
+std::string load_waits_for_a(const std::string& engines, const std::string& drain_grace) {
+  return "engines " + engines + "\nset /settings/safety/drain_grace " + drain_grace + R"(
     set /directory_poll_ms 200
     set /settings/permissions/dial_timeout 5000000
-    set /settings/safety/drain_grace 5000000
     start
     directory a=up
     fill a
@@ -468,14 +468,19 @@
     send c ready 1
     expect c ready 0
     )";
-  run_scenario(until_it_waits + R"(
+}
+
+}  // namespace
+
+TEST_CASE("drains: what waits for a draining engine goes elsewhere at once, or uses the grace if it has to") {
+  run_scenario(load_waits_for_a("a b", "5000000") + R"(
     directory a=draining b=up
     let a
     expect b REQ
     send b data parts=1 ok\n
     expect c served 1 ok\n
     expect a nothing 1000)");
-  run_scenario(until_it_waits + R"(
+  run_scenario(load_waits_for_a("a", "5000000") + R"(
     directory a=draining
     let a
     expect a REQ
@@ -484,18 +489,7 @@
 }
 
 TEST_CASE("drains: a request whose connection comes up after a short grace does not leave") {
-  run_scenario(R"(
-    engines a
-    set /directory_poll_ms 200
-    set /settings/permissions/dial_timeout 5000000
-    set /settings/safety/drain_grace 500000
-    start
-    directory a=up
-    fill a
-    client c
-    send c request 1 load 9000 INSERT INTO s_1.t VALUES (1)
-    send c ready 1
-    expect c ready 0
+  run_scenario(load_waits_for_a("a", "500000") + R"(
     directory a=draining
     let a
     expect a nothing 2000)");
--- /dev/null
+++ b/tests/policy/unanswered_polls_test.cpp
@@ -0,0 +1,44 @@
+// Since when a list counts as announced.
+#include "policy/unanswered_polls.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace rookproxy::policy {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("drains: since when a list counts as announced, by what went unanswered before it") {
+  struct Case {
+    std::string steps;  // a poll in each second from 1 s on; o: answered with the newest list, x: not
+    Duration reported;  // of a list that is received at 10 s
+  };
+  for (const auto& [steps, reported] : {Case{"", 10s}, Case{"oooo", 10s}, Case{"xoxo", 10s},
+                                        Case{"oooxxxxx", 4220ms}, Case{"x", 1220ms}, Case{"oox", 3220ms}}) {
+    INFO(steps);
+    UnansweredPolls polls;
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+      const Time sent_at(std::chrono::seconds(i + 1));
+      polls.on_poll_sent(sent_at);
+      if (steps[i] == 'o') polls.on_answered(sent_at);
+    }
+    CHECK(polls.announced_since(220ms, Time(10s)) == Time(reported));
+  }
+  UnansweredPolls recent;
+  recent.on_poll_sent(Time(9950ms));
+  CHECK(recent.announced_since(220ms, Time(10s)) == Time(10s));
+  UnansweredPolls overtaken;  // a late response to an earlier poll opens no closed one again
+  for (const auto at : {1s, 2s, 3s}) overtaken.on_poll_sent(Time(at));
+  overtaken.on_answered(Time(3s));
+  overtaken.on_answered(Time(1s));
+  CHECK(overtaken.announced_since(220ms, Time(10s)) == Time(10s));
+  UnansweredPolls outage;  // however long: the first poll is not forgotten
+  for (int i = 1; i <= 1000; ++i) outage.on_poll_sent(Time(std::chrono::milliseconds(i)));
+  CHECK(outage.announced_since(220ms, Time(10s)) == Time(221ms));
+}
+
+}  // namespace
+}  // namespace rookproxy::policy
