--- a/tests/integration/failing_calls_test.cpp
+++ b/tests/integration/failing_calls_test.cpp
@@ -2,9 +2,12 @@
 // something.
 #include <catch2/catch.hpp>
 #include <cerrno>
+#include <chrono>
+#include <cstdint>
 #include <fstream>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "fakes/auto_reply_line_engine.h"
 #include "fakes/fake_discovery_server.h"
@@ -15,6 +18,7 @@
 #include "support/dispatcher_process.h"
 #include "support/frames_client.h"
 #include "support/request_frame.h"
+#include "support/scripted_line_engine.h"
 
 namespace rookproxy::test {
 namespace {
@@ -22,10 +26,11 @@
 // A dispatcher with one engine and service discovery, in whose process calls fail.
 class FailingCallsFixture {
  public:
-  explicit FailingCallsFixture(const std::string& failing_calls) {
+  // `engine_port`: another engine's in place of the one that answers at once.
+  explicit FailingCallsFixture(const std::string& failing_calls, std::uint16_t engine_port = 0) {
     nlohmann::json config = default_dispatcher_config();
     config["nameserver"] = loopback_address(discovery_.port());
-    config["known"]["batch"] = make_known_batch({{"a", engine_.port()}});
+    config["known"]["batch"] = make_known_batch({{"a", engine_port == 0 ? engine_.port() : engine_port}});
     std::ofstream(directory_.file("config.json")) << config.dump();
     DispatcherOptions options{directory_.path(), directory_.file("log")};
     options.failing_calls = failing_calls;
@@ -80,5 +85,47 @@
   }
 }
 
+TEST_CASE("failing calls: interrupted and short calls and momentary failures to connect cost no request") {
+  // Of an UDP socket a short read cuts the datagram, as for service discovery here: it counts as damaged.
+  const std::string interrupted = std::to_string(EINTR);
+  std::vector<std::string> faults{"recv:every:2:" + interrupted,
+                                  "sendmsg:every:2:" + interrupted,
+                                  "epoll_wait:every:2:" + interrupted,
+                                  "recv:every:2:0",
+                                  "sendmsg:every:2:0",
+                                  "sendmsg:every:1:0"};
+  for (const int error : {ENETUNREACH, EHOSTUNREACH, ETIMEDOUT, ECONNREFUSED, EADDRNOTAVAIL, ENOBUFS}) {
+    faults.push_back("connect:every:2:" + std::to_string(error));
+  }
+  for (const std::string& fault : faults) {
+    INFO(fault);
+    const FailingCallsFixture fixture(fault);
+    fixture.process.wait_for_log("ready to serve");
+    int served = 0;
+    constexpr int kClients = 6;
+    for (int client = 0; client < kClients; ++client) served += fixture.serves_new_client() ? 1 : 0;
+    CHECK(served == kClients);
+  }
+}
+
+TEST_CASE("failing calls: a wall clock that is stepped by an hour moves no deadline") {
+  const std::string steps = "clock_gettime:every:1:3600";
+  const FailingCallsFixture serving(steps);
+  serving.process.wait_for_log("ready to serve");
+  CHECK(serving.serves_new_client());
+
+  const ScriptedLineEngine silent_engine;
+  const FailingCallsFixture waiting(steps, silent_engine.port());
+  waiting.process.wait_for_log("ready to serve");
+  FramesClient client(TestConnection::connect(waiting.process.port_logged_with("serving frames")));
+  const auto sent_at = std::chrono::steady_clock::now();
+  client.send(
+      encode_request_frame(1, {{"op", "lookup"}, {"call", format_call_id(1)}, {"ttl", "800"}}, "SELECT 1"));
+  const auto response = client.next_frame();
+  REQUIRE(response);
+  CHECK(std::chrono::steady_clock::now() - sent_at <= std::chrono::milliseconds(800));
+  CHECK(response->payload.front() != static_cast<char>(frames::kServed));
+}
+
 }  // namespace
 }  // namespace rookproxy::test
--- a/tests/preload/failing_calls.cpp
+++ b/tests/preload/failing_calls.cpp
@@ -9,6 +9,7 @@
 
 #include <cerrno>
 #include <cstdlib>
+#include <ctime>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -47,18 +48,27 @@
   return faults;
 }
 
-// Whether this call, the `number`-th of its name, has to fail; sets errno.
-bool fails(const char* call, long number) {
+constexpr int kNoFault = -1;
+constexpr int kOneByte = 0;
+
+// What befalls this call, the `number`-th of its name: an errno, kOneByte or kNoFault.
+int fault_of(const char* call, long number) {
   static const std::vector<Fault> faults = read_faults();
   for (const Fault& fault : faults) {
     if (fault.call != call) continue;
     const bool is_due = fault.every > 0 ? number % fault.every == 0
                                         : number >= fault.first && number < fault.first + fault.count;
-    if (!is_due) continue;
-    errno = fault.error;
-    return true;
+    if (is_due) return fault.error;
   }
-  return false;
+  return kNoFault;
+}
+
+// Whether this call has to fail; sets errno.
+bool fails(const char* call, long number) {
+  const int fault = fault_of(call, number);
+  if (fault == kNoFault) return false;
+  errno = fault;
+  return true;
 }
 
 template <class Function>
@@ -112,4 +122,57 @@
   return call(descriptor, mask, flags);
 }
 
+int connect(int descriptor, const sockaddr* address, socklen_t size) {
+  static long calls = 0;
+  if (fails("connect", ++calls)) return -1;
+  static const auto call = real<int (*)(int, const sockaddr*, socklen_t)>("connect");
+  return call(descriptor, address, size);
+}
+
+int epoll_wait(int epoll, epoll_event* events, int count, int timeout) {
+  static long calls = 0;
+  if (fails("epoll_wait", ++calls)) return -1;
+  static const auto call = real<int (*)(int, epoll_event*, int, int)>("epoll_wait");
+  return call(epoll, events, count, timeout);
+}
+
+ssize_t recv(int descriptor, void* buffer, size_t size, int flags) {
+  static long calls = 0;
+  const int fault = fault_of("recv", ++calls);
+  if (fault > 0) {
+    errno = fault;
+    return -1;
+  }
+  static const auto call = real<ssize_t (*)(int, void*, size_t, int)>("recv");
+  return call(descriptor, buffer, fault == kOneByte && size > 0 ? 1 : size, flags);
+}
+
+ssize_t sendmsg(int descriptor, const msghdr* message, int flags) {
+  static long calls = 0;
+  const int fault = fault_of("sendmsg", ++calls);
+  if (fault > 0) {
+    errno = fault;
+    return -1;
+  }
+  static const auto call = real<ssize_t (*)(int, const msghdr*, int)>("sendmsg");
+  if (fault != kOneByte || message->msg_iovlen == 0 || message->msg_iov[0].iov_len == 0) {
+    return call(descriptor, message, flags);
+  }
+  iovec first_byte{message->msg_iov[0].iov_base, 1};
+  msghdr part = *message;
+  part.msg_iov = &first_byte;
+  part.msg_iovlen = 1;
+  return call(descriptor, &part, flags);
+}
+
+int clock_gettime(clockid_t clock, timespec* time) noexcept {
+  static const auto call = real<int (*)(clockid_t, timespec*)>("clock_gettime");
+  const int result = call(clock, time);
+  if (clock != CLOCK_REALTIME) return result;
+  static long calls = 0;
+  const int step = fault_of("clock_gettime", ++calls);
+  if (result == 0 && step > 0) time->tv_sec += calls % 2 == 0 ? step : -step;
+  return result;
+}
+
 }  // extern "C"
