Endpoint lists: a poll that brings nothing new costs no copy of the list

Cause: each poll rebuilt the maps and the list to go by, several milliseconds for lists of thousands of engines, five times a second. Change: once a list is confirmed and uncontradicted, a response that repeats it ends after the comparison; the discovery client keeps a revision in place of a third copy.

--- a/src/discovery/dns_discovery_client.cpp
+++ b/src/discovery/dns_discovery_client.cpp
@@ -37,7 +37,6 @@
       service_(std::move(service)),
       schedule_(poll_interval),
       lists_(known, loop.now()),
-      reported_endpoints_(known.endpoints),
       random_(seed),
       on_update_(std::move(on_update)),
       list_effective_since_(loop.now()) {
@@ -191,9 +190,8 @@
 }
 
 void DnsDiscoveryClient::report_changed_list() {
-  if (lists_.usable_endpoints() == reported_endpoints_) return;
-  reported_endpoints_ = lists_.usable_endpoints();
-  on_update_(reported_endpoints_);
+  if (std::exchange(reported_revision_, lists_.revision()) == lists_.revision()) return;
+  on_update_(lists_.usable_endpoints());
 }
 
 void DnsDiscoveryClient::log_list(EndpointListTracker::Ordering ordering, std::uint32_t version,
--- a/src/discovery/dns_discovery_client.h
+++ b/src/discovery/dns_discovery_client.h
@@ -93,7 +93,7 @@
   policy::PollSchedule schedule_;
   policy::DiscoveryPath path_;
   EndpointListTracker lists_;
-  std::vector<EngineEndpoint> reported_endpoints_;  // as on_update_ was told last
+  std::uint64_t reported_revision_ = 0;  // of the list that on_update_ was told last
   std::mt19937_64 random_;
   UpdateHandler on_update_;
   // Both descriptors are held from the start, so that a new socket reuses one of them: clients and engines
--- a/src/discovery/endpoint_list_tracker.cpp
+++ b/src/discovery/endpoint_list_tracker.cpp
@@ -57,8 +57,10 @@
     case Ordering::kServerRestarted:
     case Ordering::kNewer:
       newest_endpoints_ = std::move(list.endpoints);
-      [[fallthrough]];
+      confirmation_.on_newest_list(to_listing(newest_endpoints_), list.received_at);
+      break;
     case Ordering::kSame:
+      if (confirmation_.is_settled()) return ordering;  // nearly every poll: lists may be long
       confirmation_.on_newest_list(to_listing(newest_endpoints_), list.received_at);
       break;
   }
@@ -78,7 +80,9 @@
     usable.push_back(endpoint);
     if (is_withheld) usable.back().state = routing::EngineState::kDraining;
   }
+  if (usable == usable_endpoints_) return;
   usable_endpoints_ = std::move(usable);
+  ++revision_;
 }
 
 }  // namespace rookproxy
--- a/src/discovery/endpoint_list_tracker.h
+++ b/src/discovery/endpoint_list_tracker.h
@@ -40,6 +40,8 @@
   /// The list to go by. Engines that the newest list has as serving, and that may get no new work for now
   /// since responses contradict each other about them, are draining in it or left out.
   [[nodiscard]] const std::vector<EngineEndpoint>& usable_endpoints() const { return usable_endpoints_; }
+  /// Grows with each change of the list to go by.
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
   /// Whether responses contradict the newest list, and it is not followed alone.
   [[nodiscard]] bool is_contradicted() const { return confirmation_.is_contradicted(); }
 
@@ -50,6 +52,7 @@
   policy::EndpointConfirmation confirmation_;
   std::vector<EngineEndpoint> newest_endpoints_;
   std::vector<EngineEndpoint> usable_endpoints_;
+  std::uint64_t revision_ = 0;
 };
 
 }  // namespace rookproxy
--- a/src/policy/endpoint_confirmation.h
+++ b/src/policy/endpoint_confirmation.h
@@ -54,6 +54,10 @@
 
   /// Whether that process of the engine may get new work.
   [[nodiscard]] bool may_serve(const std::string& id, std::optional<Time> started_at) const;
+  /// Whether another response that says the same as the last one, the newest list, would change nothing.
+  [[nodiscard]] bool is_settled() const {
+    return contradictions_ == 0 && candidates_.empty() && withheld_until_.empty();
+  }
   /// Whether responses contradict the newest list, and it is not followed alone.
   [[nodiscard]] bool is_contradicted() const { return contradictions_ >= kContradictionsToBelieve; }
 
