--- a/review/standins/mysql.py
+++ b/review/standins/mysql.py
@@ -102,8 +102,13 @@
     return out
 
 
+def shortened(text):
+    return text if len(text) <= 200 else f"{text[:100]}... ({len(text)} bytes)"
+
+
 def tables_of(statement, default_schema):
-    """The tables that a statement reads or writes, as (schema, table)."""
+    """The tables that a statement reads or writes, as (schema, table); of a very long one, those named at its start."""
+    statement = statement if len(statement) <= 10_000 else statement[:1000]
     found = re.findall(r"\b(?:FROM|JOIN|INTO|UPDATE)\s+(?:(\w+)\.)?(\w+)", without_comments(statement), re.I)
     return [(schema or default_schema, table) for schema, table in found]
 
@@ -116,6 +121,7 @@
         self.lock = threading.Lock()
         self.runs = []  # (thread, schema, statement) of each statement that ran
         self.prepares = []  # (thread, schema, statement)
+        self.run_time = 0  # seconds that each statement takes
         self.next_thread = 1
         self.sessions = set()
         self.listener = socket.socket()
@@ -221,10 +227,11 @@
     def execute(self, statement, schema, binary):
         tables = tables_of(statement, schema)
         self.engine.runs.append((self.thread, schema, statement))
-        self.note(f"ran, with default schema '{schema}': {statement}; tables {tables}")
+        self.note(f"ran, with default schema '{schema}': {shortened(statement)}; tables {tables}")
+        time.sleep(self.engine.run_time)
         if not statement.lstrip().upper().startswith("SELECT"):
             for table in tables:
-                self.engine.tables.setdefault(table, []).append(f"written by: {statement}")
+                self.engine.tables.setdefault(table, []).append(f"written by: {shortened(statement)}")
             self.packets.write(OK_PACKET)
             return
         rows = [row for table in tables for row in self.engine.tables.get(table, [])] or ["0"]
@@ -242,7 +249,7 @@
 class Client:
     """A client with one session at the dispatcher."""
 
-    def __init__(self, port, user, password, schema, note, timeout=8):
+    def __init__(self, port, user, password, schema, note, timeout=30):
         self.name, self.note = f"{user}/{schema}", note
         self.packets = Packets(socket.create_connection(("127.0.0.1", port), timeout=timeout))
         greeting = self.packets.read()
@@ -290,12 +297,16 @@
         except MysqlError as error:
             self.note(f"client {self.name}: {what} -> {error} ({time.monotonic() - started:.3f} s)")
             raise
+        except OSError as error:
+            waited = time.monotonic() - started
+            self.note(f"client {self.name}: {what} -> no answer: {error} ({waited:.3f} s)")
+            raise
 
     def query(self, statement):
         def call():
             self.send(0x03, statement.encode())
             return self.rows(False)
-        return self.logged(f"query {statement!r}", call)
+        return self.logged(f"query {shortened(statement)!r}", call)
 
     def prepare(self, statement):
         def call():
