Review, case 1: a request takes over the response that a cancelled one left due

Cause: a MySQL session whose attempt is cancelled while a schema choice or a prepare is under way is released as if it were idle. The next attempt on it takes that response for its own: it runs in the other client's schema, or executes the other client's statement.

Change: review/1 with its claim and its test.

--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,19 +1,21 @@
-"""A statement is prepared on an engine that then drains before the statement executes."""
+"""A client leaves while an engine stands still, before its request has begun; another client's request comes next."""
 import json
 import pathlib
 import sys
+import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from standins import case as cases  # noqa: E402
-from standins.directory import Directory  # noqa: E402
-from standins.mysql import Client, Engine, MysqlError  # noqa: E402
+from standins.mysql import Client, Engine, MysqlError, Pause  # noqa: E402
 from standins.settings import settings  # noqa: E402
 
-STATEMENT = "SELECT mark FROM marks"
-ADDIS = [f"marks_{group}" for group in range(1, 13)]  # schemas of the tenant addis
-GONDAR = [f"marks_{group}" for group in range(41, 53)]  # schemas of the tenant gondar
+SCHOOLS = [f"marks_{group}" for group in range(1, 13)]
+LOOKUP = "SELECT mark FROM marks"
+LOAD = "INSERT INTO corrections VALUES ('{}')"
+INIT_DB, QUERY, STMT_PREPARE, STMT_EXECUTE = 0x02, 0x03, 0x16, 0x17
+GONE_FOR = 0.1  # s: an attempt that begins later than this after its client has gone breaks the rule
 
 OPERATORS_FILE = """
 link = "mysql"
@@ -22,80 +24,125 @@
 read_class = "lookup"
 load_class = "load"
 [mysql.users]
-addis-records = "a-secret"
-gondar-records = "g-secret"
+records = "r-secret"
 [mysql_engines]
 user = "rookproxy"
 password = "engine-secret"
-[access]
-[[access.roles]]
-name = "teacher"
-classes = ["lookup"]
-[[access.tenants]]
-name = "addis"
-schemas = ["marks_*"]
-groups = ["1-40"]
-[[access.tenants]]
-name = "gondar"
-schemas = ["marks_*"]
-groups = ["41-60"]
-[[access.users]]
-name = "addis-records"
-tenant = "addis"
-roles = ["teacher"]
-[[access.users]]
-name = "gondar-records"
-tenant = "gondar"
-roles = ["teacher"]
+"""
+ENGINE = """
+[[engines]]
+id = "{name}"
+host_port = "127.0.0.1:{port}"
+locality = "addis-dc1"
+flavor = "engine-a"
 """
 
 
-def body(case):
-    tables = {(schema, "marks"): [f"mark of {schema}"] for schema in ADDIS + GONDAR}
-    engines = {name: Engine(name, case.note, tables) for name in ("s-1", "s-2")}
-    directory = Directory(case.note)
-    case.closers += [engine.close for engine in engines.values()] + [directory.close]
-    for name, engine in engines.items():
-        directory.set(name, engine.port)
+def start(case):
+    """Starts three engines and the dispatcher; returns the engines, what makes one of them pause, and the port."""
+    tables = {(school, "marks"): [f"mark of {school}"] for school in SCHOOLS}
+    pause = Pause(0.4)
+    engines = [Engine(f"s-{number}", case.note, tables, pause) for number in (1, 2, 3)]
+    case.closers += [engine.close for engine in engines]
     port, ops = cases.free_port(), cases.free_port()
     (case.temporary / "config.json").write_text(json.dumps({
         "name": "n1", "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "nameserver": f"127.0.0.1:{directory.port}", "known": directory.known(), "settings": settings()}))
-    (case.temporary / "mysql.toml").write_text(OPERATORS_FILE.format(port=port))
+        "settings": settings("off")}))
+    (case.temporary / "mysql.toml").write_text(OPERATORS_FILE.format(port=port) + "".join(
+        ENGINE.format(name=engine.name, port=engine.port) for engine in engines))
     case.launch(case.deploy_command(f"--file {case.temporary}/mysql.toml"), "dispatcher",
                 {"NODE_NAME": "n1", "NODE_CONFIG": f"{case.temporary}/config.json", "NODE_OPS": f"127.0.0.1:{ops}"})
     cases.wait_for(lambda: cases.ask_admin(ops, "STATUS").startswith("+OK"), 10, "the dispatcher is ready")
+    return engines, pause, port
+
+
+def body(case):
+    engines, pause, port = start(case)
+    violations, loaded = [], []
+
+    def log_in(school):
+        return Client(port, "records", "r-secret", school, case.note)
+
+    clients = {school: log_in(school) for school in SCHOOLS}
+
+    def look_up(school):
+        """A school looks up its own marks, which are the only rows that it may be answered."""
+        try:
+            rows = clients[school].query(LOOKUP)
+        except MysqlError:
+            return  # Refused or failed: allowed.
+        if rows != [f"mark of {school}"]:
+            violations.append(f"{school} asked for its own marks and was answered {rows}")
+
+    def load(school):
+        """A school loads a correction of its own."""
+        try:
+            clients[school].query(LOAD.format(school))
+            loaded.append(school)
+        except MysqlError:
+            pass  # Refused or failed: allowed.
+
+    def served_by(engine):
+        """The schools whose last lookup ran on this engine."""
+        last = {}
+        for candidate in engines:
+            for at, school, statement in candidate.runs:
+                if statement == LOOKUP and at > last.get(school, (0, None))[0]:
+                    last[school] = (at, candidate)
+        return [school for school in clients if last[school][1] is engine]
+
+    def leave(school):
+        """The school's client leaves while an engine stands still at its request; returns when."""
+        if not pause.begun.wait(3):
+            raise cases.CannotRun("no engine received the command in question")
+        time.sleep(0.05)
+        clients.pop(school).close()
+        case.note(f"client records/{school} left")
+        left = time.monotonic()
+        time.sleep(0.05)
+        return left
+
+    for _ in range(2):
+        for school in SCHOOLS:
+            look_up(school)
+
+    # 1. A lookup waits until its default schema is chosen on the engine; a lookup of another school comes next.
+    school = max((served_by(engine) for engine in engines), key=len)[0]
+    if case.trouble:
+        pause.arm(INIT_DB)
+        clients[school].send(QUERY, LOOKUP.encode())
+        leave(school)
+        look_up(served_by(pause.engine)[0])
+    else:
+        look_up(school)
+    time.sleep(0.5)
 
-    def schemas_prepared_at(engine):
-        return {schema for _, schema, statement in engine.prepares if statement == STATEMENT}
-
-    # The schools of addis look up their marks, each in its own schema, and all with the same statement.
-    for schema in ADDIS:
-        client = Client(port, "addis-records", "a-secret", schema, case.note)
-        if client.execute(client.prepare(STATEMENT)) != [f"mark of {schema}"]:
-            return [f"addis-records, schema {schema}: rows of another schema, before any disruption"]
-        client.close()
-    if not all(schemas_prepared_at(engine) for engine in engines.values()):
-        raise cases.CannotRun("all schools were served by one engine")
-
-    # A school of gondar prepares the same statement. The engine that prepared it drains before it is executed.
-    schema = GONDAR[0]
-    client = Client(port, "gondar-records", "g-secret", schema, case.note)
-    number = client.prepare(STATEMENT)
-    name = next(name for name, engine in engines.items() if schema in schemas_prepared_at(engine))
-    case.note(f"prepared on {name}")
+    # 2. A prepared load waits until it is prepared on the engine that is to execute it; other schools' loads come next.
+    school = next(iter(clients))
+    statement = clients[school].prepare(LOAD.format(school))
+    left = None
     if case.trouble:
-        directory.change(name, state="draining")
-    time.sleep(3)
-    expected = [f"mark of {schema}"]
-    try:
-        rows = client.execute(number)
-    except MysqlError:
-        rows = expected  # Refused or failed: allowed.
-    client.close()
-    if rows != expected:
-        return [f"gondar-records, schema {schema}: was answered {rows} instead of {expected}"]
-    return []
+        pause.arm(STMT_PREPARE)
+        clients[school].send(STMT_EXECUTE, statement.to_bytes(4, "little") + b"\0\1\0\0\0")
+        left = leave(school)
+    else:
+        clients[school].execute(statement)
+    loads = [threading.Thread(target=load, args=[other]) for other in clients if other != school]
+    for thread in loads:
+        thread.start()
+    for thread in loads:
+        thread.join()
+    time.sleep(0.5)
+    runs = {other: [(at, schema) for engine in engines for at, schema, statement in engine.runs
+                    if statement == LOAD.format(other)] for other in SCHOOLS}
+    for at, _ in runs[school]:
+        if left and at > left + GONE_FOR:
+            violations.append(f"the load of {school} was begun {at - left:.3f} s after its client had gone")
+    for other in loaded:
+        schemas = [schema for _, schema in runs[other]]
+        if schemas != [other]:
+            violations.append(f"the load of {other} was answered as done, and ran {len(schemas)} times {schemas}")
+    return violations
 
 
 cases.main(__file__, body)
--- a/review/standins/mysql.py
+++ b/review/standins/mysql.py
@@ -102,31 +102,45 @@
     return out
 
 
-def shortened(text):
-    return text if len(text) <= 200 else f"{text[:100]}... ({len(text)} bytes)"
-
-
 def tables_of(statement, default_schema):
-    """The tables that a statement reads or writes, as (schema, table); of a very long one, those named at its start."""
-    statement = statement if len(statement) <= 10_000 else statement[:1000]
+    """The tables that a statement reads or writes, as (schema, table)."""
     found = re.findall(r"\b(?:FROM|JOIN|INTO|UPDATE)\s+(?:(\w+)\.)?(\w+)", without_comments(statement), re.I)
     return [(schema or default_schema, table) for schema, table in found]
 
 
+class Pause:
+    """The engine that next receives a command stands still from then on for a while."""
+
+    def __init__(self, seconds):
+        self.seconds, self.command, self.engine = seconds, None, None
+        self.begun = threading.Event()
+
+    def arm(self, command):
+        self.begun.clear()
+        self.command = command
+
+    def received(self, engine, command):
+        if command == self.command:
+            self.command, self.engine = None, engine
+            engine.stands_still_until = time.monotonic() + self.seconds
+            engine.note(f"{engine.name} receives command {command:#x} and stands still for {self.seconds} s")
+            self.begun.set()
+
+
 class Engine:
     """Serves each connection on its own thread. `tables`: rows (lists of text) by (schema, table)."""
 
-    def __init__(self, name, note, tables, port=0):
-        self.name, self.note, self.tables = name, note, tables
+    def __init__(self, name, note, tables, pause=None):
+        self.name, self.note, self.tables, self.pause = name, note, tables, pause
+        self.stands_still_until = 0.0
         self.lock = threading.Lock()
-        self.runs = []  # (thread, schema, statement) of each statement that ran
+        self.runs = []  # (time, schema, statement) of each statement that ran
         self.prepares = []  # (thread, schema, statement)
-        self.run_time = 0  # seconds that each statement takes
         self.next_thread = 1
         self.sessions = set()
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(("127.0.0.1", port))
+        self.listener.bind(("127.0.0.1", 0))
         self.listener.listen(64)
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -189,6 +203,10 @@
 
     def command(self, payload):
         code, rest = payload[0], payload[1:]
+        if self.engine.pause:
+            self.engine.pause.received(self.engine, code)
+        while time.monotonic() < self.engine.stands_still_until:
+            time.sleep(0.002)
         if code == 0x01:
             raise ConnectionError("quit")
         if code == 0x02:
@@ -226,12 +244,11 @@
 
     def execute(self, statement, schema, binary):
         tables = tables_of(statement, schema)
-        self.engine.runs.append((self.thread, schema, statement))
-        self.note(f"ran, with default schema '{schema}': {shortened(statement)}; tables {tables}")
-        time.sleep(self.engine.run_time)
+        self.engine.runs.append((time.monotonic(), schema, statement))
+        self.note(f"ran, with default schema '{schema}': {statement}; tables {tables}")
         if not statement.lstrip().upper().startswith("SELECT"):
             for table in tables:
-                self.engine.tables.setdefault(table, []).append(f"written by: {shortened(statement)}")
+                self.engine.tables.setdefault(table, []).append(f"written by: {statement}")
             self.packets.write(OK_PACKET)
             return
         rows = [row for table in tables for row in self.engine.tables.get(table, [])] or ["0"]
@@ -306,7 +323,7 @@
         def call():
             self.send(0x03, statement.encode())
             return self.rows(False)
-        return self.logged(f"query {shortened(statement)!r}", call)
+        return self.logged(f"query {statement!r}", call)
 
     def prepare(self, statement):
         def call():
