--- a/review/standins/frames.py
+++ b/review/standins/frames.py
@@ -51,7 +51,7 @@
             request.ended = time.monotonic()
             self.note(f"client: {op} {call} could not be sent: {error}")
             return request
-        self.note(f"client: sent {op} {call}, ttl {ttl}: {statement}")
+        self.note(f"client: sent {op} {call}, ttl {ttl}: {statement[:100]} ({len(statement)} bytes)")
         return request
 
     def take(self, size):
--- a/review/standins/lines.py
+++ b/review/standins/lines.py
@@ -92,7 +92,7 @@
     def command(self, words):
         if words[0] == "REQ":
             statement = self.read_body(int(words[3]))
-            self.engine.note(f"{self.engine.name}: received {' '.join(words[:3])}: {statement}")
+            self.engine.note(f"{self.engine.name}: received {' '.join(words)}: {statement[:100]}")
             self.open.add(words[1])
             threading.Timer(self.engine.delay, self.serve, [words[1]]).start()
         elif words[0] == "STOP":
