Review case 1: a load runs up to six times after an engine's error 1615 or 1243

Cause: outcome_of_error maps the errors 1243 and 1615 of any execution to 'never ran'. A server also answers with them after a procedure has run some of its statements. The stand-in for MySQL engines learns to run procedures.

--- a/review/standins/mysql.py
+++ b/review/standins/mysql.py
@@ -136,6 +136,8 @@
         self.lock = threading.Lock()
         self.runs = []  # (time, schema, statement) of each statement that ran
         self.prepares = []  # (thread, schema, statement)
+        # By name, a function of engine, schema and arguments, which returns an error (code, text) or None.
+        self.procedures = {}
         self.next_thread = 1
         self.sessions = set()
         self.listener = socket.socket()
@@ -243,6 +245,10 @@
         self.packets.write(*packets)
 
     def execute(self, statement, schema, binary):
+        call = re.match(r"\s*CALL\s+(?:(\w+)\.)?(\w+)\s*\((.*)\)", without_comments(statement), re.I)
+        if call:
+            self.call(statement, call[1] or schema, call[2], call[3])
+            return
         tables = tables_of(statement, schema)
         self.engine.runs.append((time.monotonic(), schema, statement))
         self.note(f"ran, with default schema '{schema}': {statement}; tables {tables}")
@@ -256,6 +262,13 @@
         packets += [(b"\0\0" if binary else b"") + lenenc(row.encode()) for row in rows]
         self.packets.write(*packets, EOF_PACKET)
 
+    def call(self, statement, schema, name, arguments):
+        self.engine.runs.append((time.monotonic(), schema, statement))
+        self.note(f"runs {statement}")
+        error = self.engine.procedures[name](self.engine, schema, arguments)
+        self.note(f"ends {statement}: {'done' if error is None else f'error {error[0]}: {error[1]}'}")
+        self.packets.write(OK_PACKET if error is None else error_packet(*error))
+
 
 class MysqlError(Exception):
     def __init__(self, code, text):
