Fix: a late response to a readiness probe left an instance without a process

Callers: when the former process died during `rookproxyctl upgrade`, the machine accepted all further connections and nobody answered them; the next `restart` or `drain` sent SIGTERM to process 0, the agent's whole group.

Cause: the callback of a probe promoted whatever successor the instance had when the response came. The exit of the former process had promoted the successor already, so the callback moved 0 into its place and ended the only process.

Change: the callback names the process that it asked, and a response of any other changes nothing.

Evidence: the new test forces the order (the test serves the admin address and responds after the exit was collected).

--- a/src/agent/supervisor.cpp
+++ b/src/agent/supervisor.cpp
@@ -216,7 +216,9 @@
     ::kill(instance.successor, SIGKILL);
     return;
   }
-  const auto on_response = [this, &instance](const std::string& response) {
+  const auto on_response = [this, &instance, probed = instance.successor](const std::string& response) {
+    // The process may have been promoted or have ended since it was probed.
+    if (instance.successor != probed) return;
     if (response.starts_with("+OK")) return promote_successor(instance);
     instance.upgrade_timer =
         loop_.run_at(loop_.now() + kProbeInterval, [this, &instance] { probe_successor(instance); });
