Agent: one table of phases and events decides on an instance's processes

Cause: an event of one process acted on whichever process had that role by then.

A phase holds the processes that it has as ProcessId, which can't be 0. Exits and responses name their process, deadlines are part of the phase or process that they concern. Instance carries the decisions out with one timer; Supervisor holds the instances.

--- a/src/agent/agent_server.cpp
+++ b/src/agent/agent_server.cpp
@@ -4,6 +4,7 @@
 #include "net/file_descriptor.h"
 #include "net/slot_map.h"
 #include "net/sockets.h"
+#include "policy/instance_lifecycle.h"
 
 #include <sys/stat.h>
 #include <unistd.h>
@@ -28,6 +29,9 @@
 // Only the owner may use the socket, as its commands can stop every instance.
 constexpr mode_t kSocketUmask = 0177;
 
+// The `pid` of an instance without a process.
+constexpr int kNoProcess = 0;
+
 constexpr std::array<std::string_view, 6> kCommands{"status",  "start",   "drain",
                                                     "restart", "upgrade", "shutdown"};
 
@@ -44,6 +48,15 @@
   return listener;
 }
 
+// Returns nothing for the commands that concern the whole agent.
+std::optional<policy::InstanceCommand> parse_instance_command(std::string_view command) {
+  if (command == "start") return policy::InstanceCommand::kStart;
+  if (command == "drain") return policy::InstanceCommand::kDrain;
+  if (command == "restart") return policy::InstanceCommand::kRestart;
+  if (command == "upgrade") return policy::InstanceCommand::kUpgrade;
+  return std::nullopt;
+}
+
 std::string error_response(const CommandRejection& rejection) {
   const json response{{"ok", false}, {"error", rejection.reason}};
   // Text that is quoted from the request may be invalid UTF-8.
@@ -121,7 +134,7 @@
   const auto instances = supervisor_.status();
   const auto is_known = [&](const std::string& name) {
     return std::any_of(instances.begin(), instances.end(),
-                       [&](const Supervisor::Status& instance) { return instance.name == name; });
+                       [&](const InstanceStatus& instance) { return instance.name == name; });
   };
   // All names are checked first, so that nothing is done if one of them is unknown.
   const auto unknown = std::find_if_not(request.names.rbegin(), request.names.rend(), is_known);
@@ -141,11 +154,9 @@
 
 std::optional<CommandRejection> AgentServer::execute_for(const std::string& command,
                                                          const std::string& name) {
-  if (command == "start") return supervisor_.start(name);
-  if (command == "drain") return supervisor_.drain(name);
-  if (command == "restart") return supervisor_.restart(name);
-  if (command == "upgrade") return supervisor_.upgrade(name);
-  return std::nullopt;
+  const auto instance_command = parse_instance_command(command);
+  if (!instance_command) return std::nullopt;
+  return supervisor_.execute(*instance_command, name);
 }
 
 std::string AgentServer::status_response(const std::vector<std::string>& names) const {
@@ -155,7 +166,7 @@
     const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(instance.time_in_state);
     instances.push_back({{"name", instance.name},
                          {"state", state_name(instance.state)},
-                         {"pid", instance.process},
+                         {"pid", instance.process ? instance.process->number() : kNoProcess},
                          {"restarts", instance.restarts},
                          {"last_exit", instance.last_exit},
                          {"ops", instance.admin_address},
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -25,7 +25,7 @@
   const auto begin_shutdown = [&] { supervisor.begin_shutdown([&loop] { loop.stop(); }); };
   SignalWatcher signals(loop, {SIGCHLD, SIGTERM, SIGINT}, [&](int signal) {
     if (signal == SIGCHLD) {
-      supervisor.reap_children();
+      supervisor.collect_exits();
     } else {
       begin_shutdown();
     }
--- a/src/agent/process.cpp
+++ b/src/agent/process.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -53,11 +54,20 @@
 
 }  // namespace
 
-pid_t start_process(const ProcessSpec& spec) {
+std::optional<policy::ProcessId> start_process(const ProcessSpec& spec) {
   const pid_t agent = ::getpid();
   const pid_t process = ::fork();
   if (process == 0) run_child(spec, agent);
-  return process;
+  return policy::ProcessId::from(process);
+}
+
+void send_signal(policy::ProcessId process, int signal) { ::kill(process.number(), signal); }
+
+std::optional<std::string> collect_exit(policy::ProcessId process) {
+  int wait_status = 0;
+  if (::waitpid(process.number(), &wait_status, WNOHANG) != process.number()) return std::nullopt;
+  if (WIFEXITED(wait_status)) return "exit " + std::to_string(WEXITSTATUS(wait_status));
+  return "signal " + std::to_string(WTERMSIG(wait_status));
 }
 
 }  // namespace rookproxy
--- a/src/agent/process.h
+++ b/src/agent/process.h
@@ -1,12 +1,13 @@
-// Starts child processes of the agent.
+// Starts, signals and collects child processes of the agent.
 #pragma once
 
-#include <sys/types.h>
-
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "policy/process_id.h"
+
 namespace rookproxy {
 
 // The number of the first passed descriptor in the child.
@@ -22,8 +23,14 @@
   std::vector<int> passed_descriptors;
 };
 
-// Starts a child, which gets SIGTERM when this process ends. Returns its id, or a negative number with errno
-// set. If the command can't be executed, the child exits with code 127.
-[[nodiscard]] pid_t start_process(const ProcessSpec& spec);
+// Starts a child, which gets SIGTERM when this process ends. Returns nothing on failure, with errno set. If
+// the command can't be executed, the child exits with code 127.
+[[nodiscard]] std::optional<policy::ProcessId> start_process(const ProcessSpec& spec);
+
+// Sends a signal to a child whose exit has not been collected.
+void send_signal(policy::ProcessId process, int signal);
+
+// Collects the exit of a child and returns how it ended, like "exit 2" or "signal 9"; nothing while it runs.
+[[nodiscard]] std::optional<std::string> collect_exit(policy::ProcessId process);
 
 }  // namespace rookproxy
