Fix: a restart left clients of the agent's socket without a process that accepts

Callers: after `rookproxyctl restart` the old process serves its open requests to their end but accepts nobody, while the agent holds the socket.

Cause: a restart was a drain followed by a start, also where the socket outlives the processes.

Change: where two processes can run side by side, the new one is started at once and the old one gets SIGTERM; the instance is shown as draining until that has ended. If no process can be started, the running one goes on. The test of a restart whose start fails now has an instance that can't overlap, where a start still follows the exit; the case that can has tests of its own.

'during a restart there is a process that accepts while the former one drains' failed before (1 process, 2 expected).

--- a/src/agent/instance.cpp
+++ b/src/agent/instance.cpp
@@ -42,6 +42,8 @@
       return quoted_name + " does not run";
     case InstanceRejection::kBeingUpgraded:
       return quoted_name + " is being upgraded";
+    case InstanceRejection::kBeingRestarted:
+      return quoted_name + " is being restarted";
     case InstanceRejection::kNoProcessStarted:
       return quoted_name + ": no process could be started";
   }
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -36,7 +36,7 @@
     {"status", "prints the state of each instance; exit code 5 if one of them is not running", true},
     {"start", "starts instances that are not running", true},
     {"drain", "lets instances finish their open requests, then stops them", true},
-    {"restart", "drains instances, then starts them again", true},
+    {"restart", "drains instances and starts them again", true},
     {"upgrade", "starts a second process of an instance; once that is ready, the first one is drained", true},
     {"figures", "prints the metrics of each instance, from its admin address", true},
     {"shutdown", "drains all instances and stops the agent", false},
--- a/src/policy/instance_lifecycle.cpp
+++ b/src/policy/instance_lifecycle.cpp
@@ -47,7 +47,8 @@
        /* upgrading  */ kNone,
        /* draining   */ &Self::add_restart,
        /* restarting */ kNone,
-       /* ending     */ &Self::launch},
+       /* ending     */ &Self::launch,
+       /* replacing  */ kNone},
       // kDrainCommand
       {/* stopped    */ kNone,
        /* waiting    */ &Self::cancel_launch,
@@ -55,7 +56,8 @@
        /* upgrading  */ &Self::abort_and_drain,
        /* draining   */ kNone,
        /* restarting */ &Self::remove_restart,
-       /* ending     */ kNone},
+       /* ending     */ kNone,
+       /* replacing  */ &Self::drain_replacement},
       // kRestartCommand
       {/* stopped    */ &Self::launch,
        /* waiting    */ &Self::launch,
@@ -63,7 +65,8 @@
        /* upgrading  */ &Self::abort_and_restart,
        /* draining   */ &Self::add_restart,
        /* restarting */ kNone,
-       /* ending     */ &Self::launch},
+       /* ending     */ &Self::launch,
+       /* replacing  */ &Self::restart_replacement},
       // kUpgradeCommand
       {/* stopped    */ &Self::reject_not_running,
        /* waiting    */ &Self::reject_not_running,
@@ -71,17 +74,18 @@
        /* upgrading  */ &Self::reject_upgrading,
        /* draining   */ &Self::reject_not_running,
        /* restarting */ &Self::reject_not_running,
-       /* ending     */ &Self::reject_not_running},
+       /* ending     */ &Self::reject_not_running,
+       /* replacing  */ &Self::reject_not_running},
       // kLaunchDue
-      {kNone, /* waiting */ &Self::launch_again, kNone, kNone, kNone, kNone, kNone},
+      {kNone, /* waiting */ &Self::launch_again, kNone, kNone, kNone, kNone, kNone, kNone},
       // kProbeDue
-      {kNone, kNone, kNone, /* upgrading */ &Self::probe_successor, kNone, kNone, kNone},
+      {kNone, kNone, kNone, /* upgrading */ &Self::probe_successor, kNone, kNone, kNone, kNone},
       // kReadyResponse
-      {kNone, kNone, kNone, /* upgrading */ &Self::promote_successor, kNone, kNone, kNone},
+      {kNone, kNone, kNone, /* upgrading */ &Self::promote_successor, kNone, kNone, kNone, kNone},
       // kOtherResponse
-      {kNone, kNone, kNone, /* upgrading */ &Self::probe_later, kNone, kNone, kNone},
+      {kNone, kNone, kNone, /* upgrading */ &Self::probe_later, kNone, kNone, kNone, kNone},
       // kReadyTimeout
-      {kNone, kNone, kNone, /* upgrading */ &Self::kill_late_successor, kNone, kNone, kNone},
+      {kNone, kNone, kNone, /* upgrading */ &Self::kill_late_successor, kNone, kNone, kNone, kNone},
       // kProcessExit
       {/* stopped    */ kNone,
        /* waiting    */ kNone,
@@ -89,9 +93,13 @@
        /* upgrading  */ &Self::replace_ended_process,
        /* draining   */ &Self::finish_drain,
        /* restarting */ &Self::finish_restart,
-       /* ending     */ kNone},
+       /* ending     */ kNone,
+       /* replacing  */ &Self::finish_replacement},
       // kSuccessorExit
-      {kNone, kNone, kNone, /* upgrading */ &Self::fail_upgrade, kNone, kNone, kNone},
+      {kNone, kNone, kNone,
+       /* upgrading  */ &Self::fail_upgrade,
+       kNone, kNone, kNone,
+       /* replacing  */ &Self::lose_replacement},
       // kLeavingExit
       {/* stopped    */ kNone,
        /* waiting    */ &Self::finish_leaving,
@@ -99,12 +107,14 @@
        /* upgrading  */ kNone,
        /* draining   */ &Self::finish_leaving,
        /* restarting */ &Self::finish_leaving,
-       /* ending     */ &Self::finish_ending},
+       /* ending     */ &Self::finish_ending,
+       /* replacing  */ kNone},
       // kStopTimeout
       {kNone, kNone, kNone, kNone,
        /* draining   */ &Self::kill_process,
        /* restarting */ &Self::kill_process,
-       kNone},
+       kNone,
+       /* replacing  */ &Self::kill_process},
       // kLeavingStopTimeout
       {/* stopped    */ kNone,
        /* waiting    */ &Self::kill_leaving,
@@ -112,7 +122,8 @@
        /* upgrading  */ kNone,
        /* draining   */ &Self::kill_leaving,
        /* restarting */ &Self::kill_leaving,
-       /* ending     */ &Self::kill_leaving},
+       /* ending     */ &Self::kill_leaving,
+       /* replacing  */ kNone},
   }};
   // clang-format on
 };
@@ -155,10 +166,9 @@
 
 void InstanceLifecycle::on_exit(ProcessId process, const std::string& exit, const Context& context) {
   const Input input{context.now, context.control, exit};
-  const auto* upgrading = std::get_if<Upgrading>(&phase_);
   if (leaving_ && process == leaving_->process.id) {
     handle(Event::kLeavingExit, input);
-  } else if (upgrading && process == upgrading->successor.id) {
+  } else if (process == next_process()) {
     handle(Event::kSuccessorExit, input);
   } else if (process == this->process()) {
     handle(Event::kProcessExit, input);
@@ -201,6 +211,7 @@
 std::optional<Time> InstanceLifecycle::kill_due() const {
   if (const auto* draining = std::get_if<Draining>(&phase_)) return draining->process.kill_at;
   if (const auto* restarting = std::get_if<Restarting>(&phase_)) return restarting->process.kill_at;
+  if (const auto* replacing = std::get_if<Replacing>(&phase_)) return replacing->process.kill_at;
   return std::nullopt;
 }
 
@@ -270,8 +281,18 @@
   return std::nullopt;
 }
 
+// Starts the new process at once where two can run side by side, since the agent holds the listening sockets:
+// a draining process stops accepting at some time, and clients would then wait for the new one.
 InstanceLifecycle::Rejection InstanceLifecycle::restart(const Input& input) {
-  phase_ = Restarting{terminate(std::get<Running>(phase_).process.id, input)};
+  const ProcessId former = std::get<Running>(phase_).process.id;
+  if (!settings_.can_overlap || leaving_) {
+    phase_ = Restarting{terminate(former, input)};
+    return std::nullopt;
+  }
+  const auto replacement = input.control.start(1 - admin_index_);
+  if (!replacement) return InstanceRejection::kNoProcessStarted;
+  backoff_ = settings_.initial_backoff;
+  phase_ = Replacing{terminate(former, input), {*replacement, input.now}};
   return std::nullopt;
 }
 
@@ -292,16 +313,51 @@
   return std::nullopt;
 }
 
+InstanceLifecycle::Rejection InstanceLifecycle::drain_replacement(const Input& input) {
+  phase_ = Draining{terminate_replacement(input)};
+  return std::nullopt;
+}
+
+// The replacement may have been started before what the command is about, so it is restarted as well.
+InstanceLifecycle::Rejection InstanceLifecycle::restart_replacement(const Input& input) {
+  phase_ = Restarting{terminate_replacement(input)};
+  return std::nullopt;
+}
+
+InstanceLifecycle::EndingProcess InstanceLifecycle::terminate_replacement(const Input& input) {
+  const Replacing replacing = std::get<Replacing>(phase_);
+  leaving_ = LeavingProcess{replacing.process, LeaveReason::kRestarted};
+  admin_index_ = 1 - admin_index_;
+  return terminate(replacing.replacement.id, input);
+}
+
+InstanceLifecycle::Rejection InstanceLifecycle::finish_replacement(const Input& input) {
+  last_exit_ = input.exit;
+  phase_ = Running{std::get<Replacing>(phase_).replacement};
+  admin_index_ = 1 - admin_index_;
+  return std::nullopt;
+}
+
+InstanceLifecycle::Rejection InstanceLifecycle::lose_replacement(const Input& input) {
+  ++restarts_;
+  last_exit_ = input.exit;
+  phase_ = Restarting{std::get<Replacing>(phase_).process};
+  return std::nullopt;
+}
+
 InstanceLifecycle::EndingProcess InstanceLifecycle::terminate(ProcessId process, const Input& input) const {
   input.control.terminate(process);
   return {process, input.now + settings_.stop_timeout};
 }
 
 InstanceLifecycle::Rejection InstanceLifecycle::kill_process(const Input& input) {
-  auto* draining = std::get_if<Draining>(&phase_);
-  EndingProcess& process = draining ? draining->process : std::get<Restarting>(phase_).process;
-  input.control.kill(process.id, KillReason::kNotStoppedInTime);
-  process.kill_at.reset();
+  const auto kill = [&](EndingProcess& process) {
+    input.control.kill(process.id, KillReason::kNotStoppedInTime);
+    process.kill_at.reset();
+  };
+  if (auto* draining = std::get_if<Draining>(&phase_)) kill(draining->process);
+  if (auto* restarting = std::get_if<Restarting>(&phase_)) kill(restarting->process);
+  if (auto* replacing = std::get_if<Replacing>(&phase_)) kill(replacing->process);
   return std::nullopt;
 }
 
@@ -320,6 +376,7 @@
 
 InstanceLifecycle::Rejection InstanceLifecycle::start_successor(const Input& input) {
   // The leaving process still uses the other admin address.
+  if (leaving_ && leaving_->reason == LeaveReason::kRestarted) return InstanceRejection::kBeingRestarted;
   if (leaving_) return InstanceRejection::kBeingUpgraded;
   const std::size_t admin_index = 1 - admin_index_;
   const auto process = input.control.start(admin_index);
@@ -393,16 +450,18 @@
 
 InstanceLifecycle::Rejection InstanceLifecycle::kill_leaving(const Input& input) {
   EndingProcess& process = leaving_->process;
-  input.control.kill(process.id, KillReason::kPredecessorNotStoppedInTime);
+  const bool is_restarted = leaving_->reason == LeaveReason::kRestarted;
+  input.control.kill(process.id,
+                     is_restarted ? KillReason::kNotStoppedInTime : KillReason::kPredecessorNotStoppedInTime);
   process.kill_at.reset();
   return std::nullopt;
 }
 
 InstanceLifecycle::Rejection InstanceLifecycle::finish_leaving(const Input& input) {
-  const bool is_upgraded = leaving_->reason == LeaveReason::kUpgraded;
-  upgrade_ = is_upgraded
-                 ? UpgradeStatus{UpgradeStatus::State::kDone, ""}
-                 : UpgradeStatus{UpgradeStatus::State::kFailed, "the successor ended with " + input.exit};
+  if (leaving_->reason == LeaveReason::kUpgraded) upgrade_ = {UpgradeStatus::State::kDone, ""};
+  if (leaving_->reason == LeaveReason::kUpgradeAborted) {
+    upgrade_ = {UpgradeStatus::State::kFailed, "the successor ended with " + input.exit};
+  }
   leaving_.reset();
   return std::nullopt;
 }
@@ -421,8 +480,8 @@
 
 InstanceState InstanceLifecycle::state() const {
   constexpr std::array<InstanceState, Table::kPhaseCount> kStates{
-      InstanceState::kStopped,  InstanceState::kWaiting,  InstanceState::kRunning, InstanceState::kRunning,
-      InstanceState::kDraining, InstanceState::kDraining, InstanceState::kDraining};
+      InstanceState::kStopped,  InstanceState::kWaiting,  InstanceState::kRunning,  InstanceState::kRunning,
+      InstanceState::kDraining, InstanceState::kDraining, InstanceState::kDraining, InstanceState::kDraining};
   return kStates.at(phase_.index());
 }
 
@@ -431,6 +490,7 @@
   if (const auto* upgrading = std::get_if<Upgrading>(&phase_)) return upgrading->process.id;
   if (const auto* draining = std::get_if<Draining>(&phase_)) return draining->process.id;
   if (const auto* restarting = std::get_if<Restarting>(&phase_)) return restarting->process.id;
+  if (const auto* replacing = std::get_if<Replacing>(&phase_)) return replacing->process.id;
   if (std::holds_alternative<Ending>(phase_)) return leaving_->process.id;
   return std::nullopt;
 }
@@ -444,10 +504,15 @@
   return upgrading ? std::optional(upgrading->successor.id) : std::nullopt;
 }
 
+std::optional<ProcessId> InstanceLifecycle::next_process() const {
+  const auto* replacing = std::get_if<Replacing>(&phase_);
+  return replacing ? std::optional(replacing->replacement.id) : successor();
+}
+
 std::vector<ProcessId> InstanceLifecycle::processes() const {
   std::vector<ProcessId> all;
   if (const auto main = process()) all.push_back(*main);
-  if (const auto probed = successor()) all.push_back(*probed);
+  if (const auto next = next_process()) all.push_back(*next);
   if (leaving_ && leaving_->process.id != process()) all.push_back(leaving_->process.id);
   return all;
 }
--- a/src/policy/instance_lifecycle.h
+++ b/src/policy/instance_lifecycle.h
@@ -11,6 +11,8 @@
 //   draining     the main process, told to end      draining
 //   restarting   like draining; starts afterwards   draining
 //   ending       only the leaving process           draining
+//   replacing    the main process, told to end,     draining
+//                and the one started in its place
 //
 // The transitions are the table in instance_lifecycle.cpp. Exits and responses name their process: one that
 // has no role in the instance any more changes nothing. Deadlines belong to the phase or to the process that
@@ -40,6 +42,7 @@
   kNotUpgradable,
   kNotRunning,
   kBeingUpgraded,
+  kBeingRestarted,
   kNoProcessStarted
 };
 
@@ -166,10 +169,14 @@
     EndingProcess process;
   };
   struct Ending {};
-  using Phase = std::variant<Stopped, Waiting, Running, Upgrading, Draining, Restarting, Ending>;
+  struct Replacing {
+    EndingProcess process;
+    ServingProcess replacement;
+  };
+  using Phase = std::variant<Stopped, Waiting, Running, Upgrading, Draining, Restarting, Ending, Replacing>;
 
   // Why a process leaves beside the main process.
-  enum class LeaveReason { kUpgraded, kUpgradeAborted };
+  enum class LeaveReason { kUpgraded, kUpgradeAborted, kRestarted };
   struct LeavingProcess {
     EndingProcess process;
     LeaveReason reason;
@@ -202,6 +209,10 @@
   Rejection abort_and_restart(const Input& input);
   Rejection add_restart(const Input& input);
   Rejection remove_restart(const Input& input);
+  Rejection drain_replacement(const Input& input);
+  Rejection restart_replacement(const Input& input);
+  Rejection finish_replacement(const Input& input);
+  Rejection lose_replacement(const Input& input);
   Rejection start_successor(const Input& input);
   Rejection probe_successor(const Input& input);
   Rejection probe_later(const Input& input);
@@ -220,7 +231,10 @@
 
   void launch_later(Time now);
   [[nodiscard]] EndingProcess terminate(ProcessId process, const Input& input) const;
+  EndingProcess terminate_replacement(const Input& input);
   void abort_upgrade(const Successor& successor, KillReason reason, const Input& input);
+  // The process that takes over from the main process, if there is one.
+  [[nodiscard]] std::optional<ProcessId> next_process() const;
   // The phase without a main process.
   [[nodiscard]] Phase idle_phase() const;
   [[nodiscard]] std::optional<Time> launch_due() const;
--- a/tests/agent/supervisor_test.cpp
+++ b/tests/agent/supervisor_test.cpp
@@ -206,6 +206,20 @@
   CHECK(children().empty());
 }
 
+TEST_CASE("supervisor: during a restart there is a process that accepts while the former one drains") {
+  // Guards against requests that the machine accepts and nobody reads until the former process has ended.
+  SupervisedInstance instance(SIG_IGN);
+  const pid_t former = instance.process();
+  REQUIRE_FALSE(instance.supervisor.execute(policy::InstanceCommand::kRestart, "n1"));
+  CHECK(children().size() == 2);
+  CHECK(instance.status().state == policy::InstanceState::kDraining);
+  CHECK(instance.process() == former);
+  kill_process(former);
+  instance.supervisor.collect_exits();
+  CHECK(instance.status().state == policy::InstanceState::kRunning);
+  CHECK(is_alive(instance.process()));
+}
+
 TEST_CASE("supervisor: whatever is lost at each step of an upgrade, one process serves afterwards") {
   // Guards against an instance without a process, or with two, after a process or a connection is lost.
   enum class Moment { kProbeOpen, kBetweenProbes, kProbeDue, kPromoted };
--- a/tests/policy/instance_lifecycle_test.cpp
+++ b/tests/policy/instance_lifecycle_test.cpp
@@ -159,9 +159,59 @@
   CHECK_FALSE(world.lifecycle.next_due());
 }
 
+TEST_CASE("instance: a restart starts the new process first where two can run side by side") {
+  // Guards against clients of a shared socket that nobody accepts while the old process drains.
+  World world = running();
+  const int former = world.process();
+  CHECK_FALSE(world.command(Command::kRestart));
+  CHECK(world.control.children.size() == 2);
+  CHECK(world.lifecycle.state() == State::kDraining);
+  CHECK(world.process() == former);
+  world.exit(former);
+  CHECK(world.lifecycle.state() == State::kRunning);
+  CHECK(world.process() == world.control.last_id);
+  CHECK(world.lifecycle.admin_index() == 1);
+  CHECK(world.lifecycle.upgrade().to_string().empty());
+}
+
+TEST_CASE("instance: a restart that can't start a process leaves the running one alone") {
+  World world = running();
+  world.control.starts_fail = true;
+  CHECK(world.command(Command::kRestart) == InstanceRejection::kNoProcessStarted);
+  CHECK(world.lifecycle.state() == State::kRunning);
+  CHECK(world.control.signals == 0);
+}
+
+TEST_CASE("instance: a second restart also replaces the process that the first one started") {
+  // Guards against a process that runs with a configuration from before the command.
+  World world = running();
+  const int former = world.process();
+  world.command(Command::kRestart);
+  const int replacement = world.control.last_id;
+  world.command(Command::kRestart);
+  world.exit(replacement);
+  CHECK(world.lifecycle.state() == State::kRunning);
+  CHECK(world.process() != replacement);
+  CHECK(world.command(Command::kUpgrade) == InstanceRejection::kBeingRestarted);
+  world.exit(former);
+  CHECK_FALSE(world.command(Command::kUpgrade));
+}
+
+TEST_CASE("instance: a replacement that ends while the old process drains is started again afterwards") {
+  World world = running();
+  const int former = world.process();
+  world.command(Command::kRestart);
+  world.exit(world.control.last_id);
+  CHECK(world.lifecycle.restarts() == 1);
+  CHECK(world.process() == former);
+  world.exit(former);
+  CHECK(world.lifecycle.state() == State::kRunning);
+}
+
 TEST_CASE("instance: a restart whose start fails is tried again") {
   // Guards against an instance that stays stopped because the machine lacked memory for a moment.
-  World world = running();
+  World world(false);
+  world.command(Command::kStart);
   world.command(Command::kRestart);
   world.control.starts_fail = true;
   world.exit(world.process());
