Fix: an agent that inherits SIGCHLD as ignored never learned of exits

Callers: started by a program that ignores SIGCHLD, the agent showed an instance as running after its process had ended, and never started it again; a drain did not end.

Cause: the kernel then discards the exits of children and sends no SIGCHLD, and the agent kept the inherited handling.

Change: the agent restores the default before it starts its first child.

--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -2,6 +2,7 @@
 #include <csignal>
 
 #include "agent/agent_server.h"
+#include "agent/process.h"
 #include "net/event_loop.h"
 #include "net/signal_watcher.h"
 #include "options/options.h"
@@ -20,6 +21,7 @@
   const AgentConfig config = load_agent_config(options.config_file);
   if (options.check_only) return report_valid_configuration();
   configure_log(logger, config.log);
+  enable_exit_collection();
   EventLoop loop;
   Supervisor supervisor(loop, logger, config);
   const auto begin_shutdown = [&] { supervisor.begin_shutdown([&loop] { loop.stop(); }); };
--- a/src/agent/process.cpp
+++ b/src/agent/process.cpp
@@ -54,6 +54,8 @@
 
 }  // namespace
 
+void enable_exit_collection() { std::signal(SIGCHLD, SIG_DFL); }
+
 std::optional<policy::ProcessId> start_process(const ProcessSpec& spec) {
   const pid_t agent = ::getpid();
   const pid_t process = ::fork();
--- a/src/agent/process.h
+++ b/src/agent/process.h
@@ -23,6 +23,10 @@
   std::vector<int> passed_descriptors;
 };
 
+// Must be called before the first child is started. If this process inherited that SIGCHLD is ignored, the
+// kernel would discard the exits of its children without a signal.
+void enable_exit_collection();
+
 // Starts a child, which gets SIGTERM when this process ends. Returns nothing on failure, with errno set. If
 // the command can't be executed, the child exits with code 127.
 [[nodiscard]] std::optional<policy::ProcessId> start_process(const ProcessSpec& spec);
--- a/tests/agent/agent_test.cpp
+++ b/tests/agent/agent_test.cpp
@@ -39,7 +39,8 @@
 
 class Agent {
  public:
-  explicit Agent(const std::string& instances) {
+  // `sigchld` is the handling of SIGCHLD that the agent inherits.
+  explicit Agent(const std::string& instances, void (*sigchld)(int) = SIG_DFL) {
     std::string path = "/tmp/rookproxy-agent-XXXXXX";
     REQUIRE(::mkdtemp(path.data()) != nullptr);
     folder_ = path;
@@ -50,6 +51,7 @@
     pid_ = ::fork();
     if (pid_ == 0) {
       if (!std::freopen((folder_ + "/log").c_str(), "w", stderr)) ::_exit(99);
+      ::signal(SIGCHLD, sigchld);
       ::execl(ROOKPROXY_AGENT, "rookproxy-agent", "--file", (folder_ + "/agent.toml").c_str(), nullptr);
       ::_exit(99);
     }
@@ -187,6 +189,14 @@
   CHECK(agent.status("n1")["last_exit"] == "signal 15");
 }
 
+TEST_CASE("agent: it learns of exits also if it inherited that SIGCHLD is ignored") {
+  // Guards against an instance that is shown as running, and never started again, after its process has
+  // ended.
+  Agent agent(instance("flaky", R"("sh", "-c", "exit 7")"), SIG_IGN);
+  CHECK(agent.wait_for_status("flaky", "restarts", 2));
+  CHECK(agent.ctl("--wait drain").code == 0);
+}
+
 TEST_CASE("agent: invalid requests get an error response, and a second agent can't take over the socket") {
   Agent agent(instance("n1", R"("sleep", "1000")"));
   CHECK(agent.ctl("drain n1 nobody").code == 1);
