Test of all orders of events: probes and deadlines that nobody handles

The test played on when a successor was no longer probed, or a deadline stayed overdue. Two faults put into a scratch copy of the table, one at a time, showed it: a probe that is not sent when it is due, and no probe after a response other than ready. Both are found now.

--- a/tests/policy/instance_lifecycle_test.cpp
+++ b/tests/policy/instance_lifecycle_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -51,7 +52,7 @@
     child.is_killed = true;
   }
   void probe(ProcessId process, std::size_t admin_index) override {
-    ++probes;
+    open_probe = process.number();
     if (children.at(process.number()).admin_index != admin_index) misdirected_probe = true;
   }
 
@@ -61,7 +62,8 @@
   int last_id = 0;
   int starts = 0;
   int signals = 0;
-  int probes = 0;
+  // The process whose response to a probe is awaited.
+  std::optional<int> open_probe;
   bool misdirected_probe = false;
   bool sent_signal_twice = false;
 };
@@ -95,6 +97,7 @@
     lifecycle.on_exit(*ProcessId::from(process), "exit 7", {control.now, control});
   }
   void respond(int process, bool is_ready) {
+    if (control.open_probe == process) control.open_probe.reset();
     lifecycle.on_probe_response(*ProcessId::from(process), is_ready, {control.now, control});
   }
   void advance_to(Time time) {
@@ -360,6 +363,13 @@
   return used.size() == world.control.children.size() && !world.control.misdirected_probe;
 }
 
+// A successor has an open probe, or the next one follows after the pause.
+bool is_successor_probed(const World& world) {
+  if (!world.lifecycle.successor() || world.control.open_probe == world.successor()) return true;
+  const auto due = world.lifecycle.next_due();
+  return due && *due <= world.control.now + settings().probe_interval;
+}
+
 bool is_state_true(const World& world) {
   const auto& children = world.control.children;
   const auto shown = children.find(world.process());
@@ -376,6 +386,13 @@
   return false;
 }
 
+// A deadline is handled once it has passed, so that the caller does not wait for it again at once.
+bool is_overdue_after(const World& after, const Step& step) {
+  const bool is_deadline = step.kind == Step::Kind::kTime || step.kind == Step::Kind::kLateTime;
+  const auto due = after.lifecycle.next_due();
+  return is_deadline && due && *due <= after.control.now;
+}
+
 // Only commands, deadlines and the successor's response that it is ready end processes. At most one process
 // is started, and none unasked.
 bool is_reaction_allowed(const World& before, const World& after, const Step& step) {
@@ -426,6 +443,7 @@
   for (const auto& [process, child] : world.control.children) {
     key += process == world.process() ? "|main" : process == world.successor() ? "|successor" : "|other";
     key += std::to_string(child.admin_index) + (child.is_killed ? "k" : "-");
+    key += process == world.control.open_probe ? "p" : "-";
     key += since(child.started_at);
     if (child.terminated_at) key += "t" + since(*child.terminated_at);
   }
@@ -451,6 +469,7 @@
         ++steps_played;
         const bool holds = knows_exactly_its_children(after) && uses_each_admin_address_once(after) &&
                            after.control.children.size() <= (can_overlap ? 2U : 1U) && is_state_true(after) &&
+                           is_successor_probed(after) && !is_overdue_after(after, step) &&
                            is_reaction_allowed(world, after, step) && settles(after, false) &&
                            settles(after, true);
         if (!holds) {
