Review, case 9: spoilt answers of MySQL engines take the dispatcher over its memory

Cause: each connection to a MySQL engine buffers up to 16 MB of an incomplete packet, which no limit counts, for up to 30 s after its request has ended. Change: a test that shows it. Nothing is fixed.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -21,6 +21,10 @@
 ANSWER_SECONDS = 3 + 0.5 + 0.05
 
 
+def send_empty_row(packets):
+    packets.write(b"\1", mysql.column("answer"), mysql.EOF_PACKET, b"", mysql.EOF_PACKET)
+
+
 def look_up(case, port, number, tally):
     client = None
     for count in range(1, LOOKUPS + 1):
@@ -58,7 +62,7 @@
     def spoils(statement):
         with lock:
             counts["lookups"] += 1
-            return harness.TROUBLE and counts["lookups"] % SPOILT == 0
+            return send_empty_row if harness.TROUBLE and counts["lookups"] % SPOILT == 0 else None
 
     engines = [mysql.Engine(f"engine-{number}", case.record, run_time=lambda statement: LOOKUP_SECONDS, spoils=spoils)
                for number in (1, 2)]
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,7 +1,5 @@
-"""Case 9: two operators give conflicting commands for one instance; see claim.txt."""
-import json
+"""Case 9: answers of engines arrive spoilt: one is said to be long and keeps coming; see claim.txt."""
 import os
-import subprocess
 import sys
 import threading
 import time
@@ -12,103 +10,95 @@
 import harness  # noqa: E402
 import mysql  # noqa: E402
 
-LOAD = "INSERT INTO marks_11.marks (pupil, mark) VALUES ('{}', 7)"
-CLIENTS = 8
-ROUNDS = 8
-LOAD_SECONDS = 0.3
-# The second operator's command comes this long after the first one's.
-SECONDS_BETWEEN_OPERATORS = 0.1
-# A request that crosses the close of a connection is sent again by its client: the protocol's figure.
-CROSSING_SECONDS = 0.05
+LOOKUP = "SELECT mark FROM marks_11.marks WHERE pupil = 'pupil-{}-{}'"
+CLIENTS = 12
+SECONDS = 40
+# Every fiftieth answer is spoilt.
+SPOILT = 50
+LOOKUP_SECONDS = 0.05
+# Twelve clients with this pause send some 80 lookups a second.
+PAUSE = 0.1
+# The settings' limit: over it the platform kills the dispatcher.
+MEMORY_MB = 192
+ROW_SIZE = 16 * 1024 * 1024 - 2
+PART_SIZE = 256 * 1024
+SECONDS_BETWEEN_PARTS = 0.02
 
 
-class Tally:
-    def __init__(self):
-        self.answered = self.refused = 0
+def send_endless_row(packets):
+    """A row whose packet is said to have almost 16 MB and keeps coming."""
+    packets.write(b"\1", mysql.column("answer"), mysql.EOF_PACKET)
+    header = ROW_SIZE.to_bytes(3, "little") + bytes([packets.sequence])
+    try:
+        packets.sock.sendall(header)
+        for _ in range(ROW_SIZE // PART_SIZE):
+            packets.sock.sendall(b"x" * PART_SIZE)
+            time.sleep(SECONDS_BETWEEN_PARTS)
+        while packets.sock.recv(4096):
+            pass
+    except OSError as error:
+        raise mysql.Closed(str(error)) from error
+    raise mysql.Closed("closed")
 
 
-def send_loads(case, port, number, stop, tally):
-    """One connection for each load, one after another."""
-    count = 0
+def look_up(case, port, number, stop, tally):
+    client, count = None, 0
     while not stop.is_set():
         count += 1
-        pupil = f"pupil-{number}-{count}"
+        if client is None:
+            client = mysql.Client(port, deployment.USER, deployment.PASSWORD, "", 10)
+        statement = LOOKUP.format(number, count)
+        case.record(f"client {number} sends: {statement}")
         try:
-            client = mysql.Client(port, deployment.USER, deployment.PASSWORD, "")
-        except (OSError, mysql.Closed, mysql.Refused) as error:
-            case.record(f"client {number} can't log in: {error}")
-            time.sleep(0.05)
-            continue
-        case.record(f"client {number} sends the load of {pupil}")
-        sent_at = time.monotonic()
-        try:
-            client.query(LOAD.format(pupil))
-            tally.answered += 1
-            case.record(f"the load of {pupil} is answered")
+            case.record(f"client {number} is served {client.query(statement)!r}")
+            tally.append(statement)
+            time.sleep(PAUSE)
         except mysql.Refused as error:
-            tally.refused += 1
-            case.record(f"the load of {pupil}: {error}")
-        except mysql.Closed as error:
-            elapsed = time.monotonic() - sent_at
-            case.record(f"the load of {pupil}: no answer, its connection ended after {elapsed:.3f} s: {error}")
-            if elapsed > CROSSING_SECONDS:
-                case.violation(f"the load of {pupil} got no answer")
-        client.vanish()
+            case.record(f"client {number}: {error}")
+        except (mysql.Closed, IndexError, UnicodeDecodeError) as error:
+            case.record(f"client {number}: {type(error).__name__} {error}")
+            client.vanish()
+            client = None
 
 
-def control(case, *words):
-    socket_path = os.path.join(case.folder, "agent.sock")
-    done = subprocess.run([os.path.join(harness.ROOT, "build", "rookproxyctl"), "--socket", socket_path, *words],
-                          capture_output=True, text=True, timeout=60, check=False)
-    said = (done.stdout + done.stderr).strip().splitlines()
-    if words[-2:-1] != ("status",):
-        case.record(f"operator: {' '.join(words)}: exit {done.returncode}: {said[-1] if said else ''}")
-    return done.stdout
+def resident_mb(pid):
+    with open(f"/proc/{pid}/status", encoding="ascii") as status:
+        return next(int(line.split()[1]) for line in status if line.startswith("VmRSS")) / 1024
 
 
-def wait_until_settled(case):
-    end = time.monotonic() + 60
-    while time.monotonic() < end:
-        status = json.loads(control(case, "--json", "status", "records-1") or "{}")
-        for instance in status.get("instances", []):
-            if instance["state"] == "running" and instance["upgrade"] != "in progress":
-                return
-        time.sleep(0.1)
-    raise RuntimeError("the instance does not settle")
+def body(case):
+    lock = threading.Lock()
+    counts = {"lookups": 0}
 
+    def spoils(statement):
+        with lock:
+            counts["lookups"] += 1
+            return send_endless_row if harness.TROUBLE and counts["lookups"] % SPOILT == 0 else None
 
-def body(case):
-    engines = [mysql.Engine(f"engine-{number}", case.record, run_time=lambda statement: LOAD_SECONDS)
+    engines = [mysql.Engine(f"engine-{number}", case.record, run_time=lambda statement: LOOKUP_SECONDS, spoils=spoils)
                for number in (1, 2)]
-    port, ops = harness.free_port(), (harness.free_port(), harness.free_port())
+    port = harness.free_port()
     path = case.write("mysql.toml", deployment.operators_file(
-        port, [(engine.name, engine.port, "up") for engine in engines], folder=case.folder, passed=True))
-    agent = case.write("agent.toml", deployment.agents_file(case.folder, path, port, ops))
-    case.start(f"exec build/rookproxy-agent --file {agent}")
-    harness.wait_for_port(ops[0])
-    stop, tally = threading.Event(), Tally()
-    threads = [threading.Thread(target=send_loads, args=(case, port, number, stop, tally), daemon=True)
+        port, [(engine.name, engine.port, "up") for engine in engines]))
+    dispatcher = case.start(f"exec build/rookproxy --file {path}")
+    harness.wait_for_port(port)
+    stop, tally = threading.Event(), []
+    threads = [threading.Thread(target=look_up, args=(case, port, number, stop, tally), daemon=True)
                for number in range(1, CLIENTS + 1)]
     for thread in threads:
         thread.start()
-    time.sleep(1)
-    for _ in range(ROUNDS):
-        control(case, "upgrade", "records-1")
-        if harness.TROUBLE:
-            time.sleep(SECONDS_BETWEEN_OPERATORS)
-            control(case, "restart", "records-1")
-        wait_until_settled(case)
-        time.sleep(1.5)
+    end = time.monotonic() + SECONDS
+    while time.monotonic() < end:
+        time.sleep(0.2)
+        used = resident_mb(dispatcher.pid)
+        case.record(f"the dispatcher uses {used:.0f} MB")
+        if used > MEMORY_MB:
+            case.violation(f"the dispatcher uses {used:.0f} MB of {MEMORY_MB} MB: the platform kills it")
+            break
     stop.set()
-    for thread in threads:
-        thread.join(10)
-    ran = [what for engine in engines for what in engine.ran]
-    for what in sorted(set(ran)):
-        if ran.count(what) > 1:
-            case.violation(f"ran {ran.count(what)} times: {what}")
-    case.record(f"{tally.answered} loads answered, {tally.refused} refused or failed, {len(ran)} ran")
-    if tally.answered < 100:
-        raise RuntimeError("too few loads were answered")
+    case.record(f"{len(tally)} lookups served")
+    if len(tally) < 10:
+        raise RuntimeError("too few lookups were served")
 
 
 harness.run(FOLDER, body)
--- a/review/standins-2/mysql.py
+++ b/review/standins-2/mysql.py
@@ -87,10 +87,10 @@
 class Engine:
     """Listens on 127.0.0.1. `delay(command)` is the time in seconds that the engine takes for a command, by its
     number; `run_time(statement)` that of a statement. `record(line)` is called for everything that it runs. The answer
-    to a statement is spoilt if `spoils(statement)`: an empty packet stands where its row should be."""
+    to a statement is spoilt if `spoils(statement)`: that returns what sends it."""
 
     def __init__(self, name, record, delay=lambda command: 0.0, run_time=lambda statement: 0.0,
-                 spoils=lambda statement: False):
+                 spoils=lambda statement: None):
         self.name = name
         self.record = record
         self.delay = delay
@@ -179,9 +179,10 @@
         if not statement.upper().startswith("SELECT"):
             return packets.write(ok_packet(1))
         row = (b"\0\0" if binary else b"") + text(what)
-        if self.spoils(statement):
+        spoilt = self.spoils(statement)
+        if spoilt is not None:
             self.record(f"{self.name} spoils its answer to {what}")
-            row = b""
+            return spoilt(packets)
         return packets.write(b"\1", column("answer"), EOF_PACKET, row, EOF_PACKET)
 
 
