--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -86,6 +86,12 @@
     raise RuntimeError(f"nothing listens on port {port}")
 
 
+def anonymous_mb(pid):
+    """The memory of a process as the platform sees it, without the pages of files, in MB."""
+    with open(f"/proc/{pid}/status", encoding="ascii") as status:
+        return next(int(line.split()[1]) for line in status if line.startswith("RssAnon")) / 1024
+
+
 def run(folder, body):
     """Runs a case. Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case couldn't run."""
     case = Case(folder)
--- a/review/standins-2/mysql.py
+++ b/review/standins-2/mysql.py
@@ -86,16 +86,17 @@
 
 class Engine:
     """Listens on 127.0.0.1. `delay(command)` is the time in seconds that the engine takes for a command, by its
-    number; `run_time(statement)` that of a statement. `record(line)` is called for everything that it runs. The answer
-    to a statement is spoilt if `spoils(statement)`: that returns what sends it."""
+    number; `prepare_time(statement)` and `run_time(statement)` are those of a statement. `record(line)` is called for
+    everything that it runs. The answer to a statement is spoilt if `spoils(statement)` returns what sends it."""
 
     def __init__(self, name, record, delay=lambda command: 0.0, run_time=lambda statement: 0.0,
-                 spoils=lambda statement: None):
+                 spoils=lambda statement: None, prepare_time=lambda statement: 0.0):
         self.name = name
         self.record = record
         self.delay = delay
         self.run_time = run_time
         self.spoils = spoils
+        self.prepare_time = prepare_time
         self.ran = []
         self.lock = threading.Lock()
         self.connections = 0
@@ -142,6 +143,7 @@
                 self._run(packets, number, schema, data.decode(), [], False)
             elif command == COM_PREPARE:
                 statement = data.decode()
+                time.sleep(self.prepare_time(statement))
                 count = statement.count("?")
                 statements[next_id] = (statement, schema, count)
                 reads = statement.upper().startswith("SELECT")
@@ -268,5 +270,9 @@
         self.start_execute(number, values)
         return self._read_rows(True)
 
+    def send_long_data(self, data):
+        """Nothing answers it."""
+        self._send(COM_LONG_DATA, data)
+
     def vanish(self):
         self.sock.close()
