Review: cases end what they started when they are interrupted

Cause: a case that was ended by a signal left its processes. Change: SIGTERM and SIGINT end a case with code 2, after its processes.

--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -63,8 +63,7 @@
             with open(os.path.join(self.folder, f"log-{number}.txt"), encoding="utf-8", errors="replace") as log:
                 for line in log:
                     self.record(f"log of process {number}: {line.rstrip()}")
-        if TROUBLE or not self.violations:
-            self.record(f"{len(self.violations)} violations")
+        self.record(f"{len(self.violations)} violations")
         with self.lock:
             self.file.close()
         shutil.rmtree(self.folder, ignore_errors=True)
@@ -92,8 +91,18 @@
         return next(int(line.split()[1]) for line in status if line.startswith("RssAnon")) / 1024
 
 
+class Interrupted(Exception):
+    """The case was told to end."""
+
+
+def interrupt(number, _):
+    raise Interrupted(f"signal {number}")
+
+
 def run(folder, body):
     """Runs a case. Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case couldn't run."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, interrupt)
     case = Case(folder)
     result = COULD_NOT_RUN
     try:
@@ -102,6 +111,8 @@
     except Exception as error:  # Whatever stops the case is no verdict on the rule.
         case.record(f"the case couldn't run: {type(error).__name__}: {error}")
     finally:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, signal.SIG_IGN)
         case.record({HELD: "the rule held", BROKEN: "the rule was broken"}.get(result, "no verdict"))
         case.end()
     sys.stdout.flush()
