Fix: an upgrade that a command or its deadline aborts killed a process that serves

Clients of an instance got no answer when `restart`, `drain` or `shutdown` followed `upgrade` within some 0.1 s. Cause: the agent took a successor whose readiness it had not seen yet for one that serves nobody, and sent SIGKILL. A successor accepts from the shared socket before the agent's next probe. Change: the lifecycle has one way to end a process, SIGTERM and SIGKILL after the stop timeout, also for an aborted successor. The test of all orders of events fails for any SIGKILL to a process that has not had its stop timeout since SIGTERM.

--- a/src/agent/instance.cpp
+++ b/src/agent/instance.cpp
@@ -50,16 +50,28 @@
   return quoted_name + ": rejected";
 }
 
+// Empty unless an upgrade is aborted: other terminations are shown by the instance's state.
+std::string_view abort_text(policy::TerminationReason reason) {
+  switch (reason) {
+    case policy::TerminationReason::kUpgradeAborted:
+      return "upgrade: aborted by a command; successor drains";
+    case policy::TerminationReason::kNotReadyInTime:
+      return "upgrade: successor not ready in time; it drains";
+    case policy::TerminationReason::kCommand:
+    case policy::TerminationReason::kReplaced:
+      return "";
+  }
+  return "";
+}
+
 std::string_view kill_text(policy::KillReason reason) {
   switch (reason) {
-    case policy::KillReason::kUpgradeAborted:
-      return "upgrade: aborted by a command; successor killed";
-    case policy::KillReason::kNotReadyInTime:
-      return "upgrade: successor not ready in time; killed";
     case policy::KillReason::kNotStoppedInTime:
       return "process did not stop in time; killed";
     case policy::KillReason::kPredecessorNotStoppedInTime:
       return "upgrade: previous process did not stop in time; killed";
+    case policy::KillReason::kSuccessorNotStoppedInTime:
+      return "upgrade: successor did not stop in time; killed";
   }
   return "killed";
 }
@@ -172,7 +184,14 @@
   return process;
 }
 
-void Instance::terminate(ProcessId process) { send_signal(process, SIGTERM); }
+void Instance::terminate(ProcessId process, policy::TerminationReason reason) {
+  const std::string_view text = abort_text(reason);
+  if (!text.empty()) {
+    logger_.write(LogLevel::kWarning, "agent", text,
+                  {{"instance", config_.name}, {"pid", process_text(process)}});
+  }
+  send_signal(process, SIGTERM);
+}
 
 void Instance::kill(ProcessId process, policy::KillReason reason) {
   logger_.write(LogLevel::kWarning, "agent", kill_text(reason),
--- a/src/agent/instance.h
+++ b/src/agent/instance.h
@@ -64,7 +64,7 @@
 
  private:
   [[nodiscard]] std::optional<policy::ProcessId> start(std::size_t admin_index) override;
-  void terminate(policy::ProcessId process) override;
+  void terminate(policy::ProcessId process, policy::TerminationReason reason) override;
   void kill(policy::ProcessId process, policy::KillReason reason) override;
   void probe(policy::ProcessId process, std::size_t admin_index) override;
 
--- a/src/policy/instance_lifecycle.cpp
+++ b/src/policy/instance_lifecycle.cpp
@@ -85,7 +85,7 @@
       // kOtherResponse
       {kNone, kNone, kNone, /* upgrading */ &Self::probe_later, kNone, kNone, kNone, kNone},
       // kReadyTimeout
-      {kNone, kNone, kNone, /* upgrading */ &Self::kill_late_successor, kNone, kNone, kNone, kNone},
+      {kNone, kNone, kNone, /* upgrading */ &Self::abort_late_upgrade, kNone, kNone, kNone, kNone},
       // kProcessExit
       {/* stopped    */ kNone,
        /* waiting    */ kNone,
@@ -270,14 +270,14 @@
 // Drains and restarts.
 
 InstanceLifecycle::Rejection InstanceLifecycle::drain(const Input& input) {
-  phase_ = Draining{terminate(std::get<Running>(phase_).process.id, input)};
+  phase_ = Draining{terminate(std::get<Running>(phase_).process.id, TerminationReason::kCommand, input)};
   return std::nullopt;
 }
 
 InstanceLifecycle::Rejection InstanceLifecycle::abort_and_drain(const Input& input) {
   const Upgrading upgrading = std::get<Upgrading>(phase_);
-  abort_upgrade(upgrading.successor, KillReason::kUpgradeAborted, input);
-  phase_ = Draining{terminate(upgrading.process.id, input)};
+  abort_upgrade(upgrading.successor, TerminationReason::kUpgradeAborted, input);
+  phase_ = Draining{terminate(upgrading.process.id, TerminationReason::kCommand, input)};
   return std::nullopt;
 }
 
@@ -286,20 +286,20 @@
 InstanceLifecycle::Rejection InstanceLifecycle::restart(const Input& input) {
   const ProcessId former = std::get<Running>(phase_).process.id;
   if (!settings_.can_overlap || leaving_) {
-    phase_ = Restarting{terminate(former, input)};
+    phase_ = Restarting{terminate(former, TerminationReason::kCommand, input)};
     return std::nullopt;
   }
   const auto replacement = input.control.start(1 - admin_index_);
   if (!replacement) return InstanceRejection::kNoProcessStarted;
   backoff_ = settings_.initial_backoff;
-  phase_ = Replacing{terminate(former, input), {*replacement, input.now}};
+  phase_ = Replacing{terminate(former, TerminationReason::kCommand, input), {*replacement, input.now}};
   return std::nullopt;
 }
 
 InstanceLifecycle::Rejection InstanceLifecycle::abort_and_restart(const Input& input) {
   const Upgrading upgrading = std::get<Upgrading>(phase_);
-  abort_upgrade(upgrading.successor, KillReason::kUpgradeAborted, input);
-  phase_ = Restarting{terminate(upgrading.process.id, input)};
+  abort_upgrade(upgrading.successor, TerminationReason::kUpgradeAborted, input);
+  phase_ = Restarting{terminate(upgrading.process.id, TerminationReason::kCommand, input)};
   return std::nullopt;
 }
 
@@ -328,7 +328,7 @@
   const Replacing replacing = std::get<Replacing>(phase_);
   leaving_ = LeavingProcess{replacing.process, LeaveReason::kRestarted};
   admin_index_ = 1 - admin_index_;
-  return terminate(replacing.replacement.id, input);
+  return terminate(replacing.replacement.id, TerminationReason::kCommand, input);
 }
 
 InstanceLifecycle::Rejection InstanceLifecycle::finish_replacement(const Input& input) {
@@ -345,8 +345,9 @@
   return std::nullopt;
 }
 
-InstanceLifecycle::EndingProcess InstanceLifecycle::terminate(ProcessId process, const Input& input) const {
-  input.control.terminate(process);
+InstanceLifecycle::EndingProcess InstanceLifecycle::terminate(ProcessId process, TerminationReason reason,
+                                                              const Input& input) const {
+  input.control.terminate(process, reason);
   return {process, input.now + settings_.stop_timeout};
 }
 
@@ -402,7 +403,8 @@
 
 InstanceLifecycle::Rejection InstanceLifecycle::promote_successor(const Input& input) {
   const Upgrading upgrading = std::get<Upgrading>(phase_);
-  leaving_ = LeavingProcess{terminate(upgrading.process.id, input), LeaveReason::kUpgraded};
+  leaving_ = LeavingProcess{terminate(upgrading.process.id, TerminationReason::kReplaced, input),
+                            LeaveReason::kUpgraded};
   phase_ = Running{{upgrading.successor.id, input.now}};
   admin_index_ = 1 - admin_index_;
   return std::nullopt;
@@ -418,16 +420,17 @@
   return std::nullopt;
 }
 
-InstanceLifecycle::Rejection InstanceLifecycle::kill_late_successor(const Input& input) {
+InstanceLifecycle::Rejection InstanceLifecycle::abort_late_upgrade(const Input& input) {
   const Upgrading upgrading = std::get<Upgrading>(phase_);
-  abort_upgrade(upgrading.successor, KillReason::kNotReadyInTime, input);
+  abort_upgrade(upgrading.successor, TerminationReason::kNotReadyInTime, input);
   phase_ = Running{upgrading.process};
   return std::nullopt;
 }
 
-void InstanceLifecycle::abort_upgrade(const Successor& successor, KillReason reason, const Input& input) {
-  input.control.kill(successor.id, reason);
-  leaving_ = LeavingProcess{{successor.id, std::nullopt}, LeaveReason::kUpgradeAborted};
+// The successor may have become ready and serve clients already, so it drains as any other process does.
+void InstanceLifecycle::abort_upgrade(const Successor& successor, TerminationReason reason,
+                                      const Input& input) {
+  leaving_ = LeavingProcess{terminate(successor.id, reason, input), LeaveReason::kUpgradeAborted};
 }
 
 InstanceLifecycle::Rejection InstanceLifecycle::fail_upgrade(const Input& input) {
@@ -448,11 +451,21 @@
 
 // The leaving process.
 
+KillReason InstanceLifecycle::kill_reason_of(LeaveReason reason) {
+  switch (reason) {
+    case LeaveReason::kUpgraded:
+      return KillReason::kPredecessorNotStoppedInTime;
+    case LeaveReason::kUpgradeAborted:
+      return KillReason::kSuccessorNotStoppedInTime;
+    case LeaveReason::kRestarted:
+      return KillReason::kNotStoppedInTime;
+  }
+  return KillReason::kNotStoppedInTime;
+}
+
 InstanceLifecycle::Rejection InstanceLifecycle::kill_leaving(const Input& input) {
   EndingProcess& process = leaving_->process;
-  const bool is_restarted = leaving_->reason == LeaveReason::kRestarted;
-  input.control.kill(process.id,
-                     is_restarted ? KillReason::kNotStoppedInTime : KillReason::kPredecessorNotStoppedInTime);
+  input.control.kill(process.id, kill_reason_of(leaving_->reason));
   process.kill_at.reset();
   return std::nullopt;
 }
--- a/src/policy/instance_lifecycle.h
+++ b/src/policy/instance_lifecycle.h
@@ -14,6 +14,10 @@
 //   replacing    the main process, told to end,     draining
 //                and the one started in its place
 //
+// Any process may be serving clients, also one that has not reported yet that it is ready: it accepts from
+// the shared listener before the agent learns of that. So a process is only ever told to end, and killed if
+// it has not done so within the stop timeout.
+//
 // The transitions are the table in instance_lifecycle.cpp. Exits and responses name their process: one that
 // has no role in the instance any more changes nothing. Deadlines belong to the phase or to the process that
 // they concern, and end with it.
@@ -75,8 +79,12 @@
   bool can_overlap = false;
 };
 
-// Why a process is killed.
-enum class KillReason { kUpgradeAborted, kNotReadyInTime, kNotStoppedInTime, kPredecessorNotStoppedInTime };
+// Why a process is told to end: an operator's command, a successor that has become ready, or an upgrade that
+// a command aborts or whose successor was not ready in time.
+enum class TerminationReason { kCommand, kReplaced, kUpgradeAborted, kNotReadyInTime };
+
+// Which process is killed because it did not end in time.
+enum class KillReason { kNotStoppedInTime, kPredecessorNotStoppedInTime, kSuccessorNotStoppedInTime };
 
 // Carries out the decisions on processes.
 class ProcessControl {
@@ -84,8 +92,8 @@
   // Starts a process that uses the admin address with this index. Returns nothing on failure.
   [[nodiscard]] virtual std::optional<ProcessId> start(std::size_t admin_index) = 0;
   // Sends SIGTERM.
-  virtual void terminate(ProcessId process) = 0;
-  // Sends SIGKILL.
+  virtual void terminate(ProcessId process, TerminationReason reason) = 0;
+  // Sends SIGKILL. The process was told to end, and its stop timeout has passed.
   virtual void kill(ProcessId process, KillReason reason) = 0;
   // Asks the process whether it is ready, in place of any earlier question. The response is passed to
   // on_probe_response().
@@ -218,7 +226,7 @@
   Rejection probe_later(const Input& input);
   Rejection promote_successor(const Input& input);
   Rejection replace_ended_process(const Input& input);
-  Rejection kill_late_successor(const Input& input);
+  Rejection abort_late_upgrade(const Input& input);
   Rejection fail_upgrade(const Input& input);
   Rejection kill_process(const Input& input);
   Rejection kill_leaving(const Input& input);
@@ -230,9 +238,11 @@
   Rejection reject_upgrading(const Input& input);
 
   void launch_later(Time now);
-  [[nodiscard]] EndingProcess terminate(ProcessId process, const Input& input) const;
+  [[nodiscard]] EndingProcess terminate(ProcessId process, TerminationReason reason,
+                                        const Input& input) const;
   EndingProcess terminate_replacement(const Input& input);
-  void abort_upgrade(const Successor& successor, KillReason reason, const Input& input);
+  void abort_upgrade(const Successor& successor, TerminationReason reason, const Input& input);
+  [[nodiscard]] static KillReason kill_reason_of(LeaveReason reason);
   // The process that takes over from the main process, if there is one.
   [[nodiscard]] std::optional<ProcessId> next_process() const;
   // The phase without a main process.
--- a/tests/agent/supervisor_test.cpp
+++ b/tests/agent/supervisor_test.cpp
@@ -185,6 +185,21 @@
       instance.loop, [] { return !children().empty(); }, 100ms));
 }
 
+TEST_CASE(
+    "supervisor: a command during an upgrade ends the successor by SIGTERM, since it may serve already") {
+  // Guards against requests that a successor has accepted before the agent knows that it is ready.
+  const auto command = GENERATE(policy::InstanceCommand::kRestart, policy::InstanceCommand::kDrain);
+  SupervisedInstance instance;
+  REQUIRE_FALSE(instance.supervisor.execute(policy::InstanceCommand::kUpgrade, "n1"));
+  auto probe = instance.accept_probe(1);
+  REQUIRE_FALSE(instance.supervisor.execute(command, "n1"));
+  REQUIRE(test::run_until(instance.loop, [&] {
+    instance.supervisor.collect_exits();
+    return instance.status().upgrade.state == policy::UpgradeStatus::State::kFailed;
+  }));
+  CHECK(instance.status().upgrade.to_string() == "failed: the successor ended with signal 15");
+}
+
 TEST_CASE("supervisor: an instance is draining until the process that an upgrade replaced has ended") {
   // Guards against a drain that is reported as complete while a process still serves.
   SupervisedInstance instance(SIG_IGN);
--- a/tests/policy/instance_lifecycle_test.cpp
+++ b/tests/policy/instance_lifecycle_test.cpp
@@ -19,6 +19,7 @@
 
 constexpr Time kStart{1h};
 constexpr int kUnknownProcess = 1'000'000;
+constexpr Duration kStopTimeout = 3s;
 
 // A child process as the tests know it.
 struct Child {
@@ -39,7 +40,7 @@
     children.emplace(++last_id, Child{admin_index, now, std::nullopt, false});
     return ProcessId::from(last_id);
   }
-  void terminate(ProcessId process) override {
+  void terminate(ProcessId process, TerminationReason) override {
     ++signals;
     Child& child = children.at(process.number());
     if (child.was_told_to_end()) sent_signal_twice = true;
@@ -49,6 +50,7 @@
     ++signals;
     Child& child = children.at(process.number());
     if (child.is_killed) sent_signal_twice = true;
+    if (!child.terminated_at || now < *child.terminated_at + kStopTimeout) killed_while_serving = true;
     child.is_killed = true;
   }
   void probe(ProcessId process, std::size_t admin_index) override {
@@ -66,6 +68,8 @@
   std::optional<int> open_probe;
   bool misdirected_probe = false;
   bool sent_signal_twice = false;
+  // A process was killed that had not been told to end, or had not had its time for that.
+  bool killed_while_serving = false;
 };
 
 InstanceSettings settings(bool can_overlap = true) {
@@ -75,7 +79,7 @@
   settings.stable_after = 3s;
   settings.ready_timeout = 4s;
   settings.probe_interval = 1s;
-  settings.stop_timeout = 3s;
+  settings.stop_timeout = kStopTimeout;
   settings.can_overlap = can_overlap;
   return settings;
 }
@@ -162,6 +166,26 @@
   CHECK_FALSE(world.lifecycle.next_due());
 }
 
+TEST_CASE("instance: a successor whose upgrade is aborted drains, whatever aborts the upgrade") {
+  // Guards against lost requests: a successor serves clients before the agent learns that it is ready.
+  const auto command = GENERATE(Command::kDrain, Command::kRestart, Command::kShutdown);
+  const bool is_late = GENERATE(false, true);
+  World world = upgrading();
+  const int successor = world.successor();
+  if (is_late) {
+    world.respond(successor, false);
+    while (world.successor() == successor) world.advance_to(*world.lifecycle.next_due());
+  } else {
+    world.command(command);
+  }
+  const Child& child = world.control.children.at(successor);
+  CHECK(child.terminated_at);
+  CHECK_FALSE(child.is_killed);
+  world.advance_to(*child.terminated_at + kStopTimeout);
+  CHECK(world.control.children.at(successor).is_killed);
+  CHECK_FALSE(world.control.killed_while_serving);
+}
+
 TEST_CASE("instance: a restart starts the new process first where two can run side by side") {
   // Guards against clients of a shared socket that nobody accepts while the old process drains.
   World world = running();
@@ -393,8 +417,8 @@
   return is_deadline && due && *due <= after.control.now;
 }
 
-// Only commands, deadlines and the successor's response that it is ready end processes. At most one process
-// is started, and none unasked.
+// Only commands, deadlines and the successor's response that it is ready end processes, and no process is
+// killed that has not had its time to drain. At most one process is started, and none unasked.
 bool is_reaction_allowed(const World& before, const World& after, const Step& step) {
   const bool is_successor_ready =
       step.kind == Step::Kind::kReadyResponse && step.process == before.successor();
@@ -402,7 +426,7 @@
   const bool may_signal = step.kind == Step::Kind::kCommand || is_deadline || is_successor_ready;
   const bool may_start = after.is_wanted && !after.is_shutting_down;
   return (may_signal || after.control.signals == 0) && !after.control.sent_signal_twice &&
-         after.control.starts <= (may_start ? 1 : 0);
+         !after.control.killed_while_serving && after.control.starts <= (may_start ? 1 : 0);
 }
 
 // Lets processes that were told to end do so (only killed ones, if they ignore SIGTERM) and time pass. The
@@ -452,7 +476,8 @@
 
 }  // namespace
 
-TEST_CASE("instance: in every order of events no process is lost, signalled twice or started unasked") {
+TEST_CASE(
+    "instance: in every order of events no process is lost, signalled twice, cut off or started unasked") {
   // Guards against orders of commands, exits, late responses, deadlines and failed starts that nobody thought
   // of. From a stopped instance on, all are played until no new state is found.
   constexpr int kMaxDepth = 50;
