Fix: a late response of a MySQL engine was taken for one to another attempt

After some ten clients had left during a PREPARE the dispatcher ended with signal 11; statements could also run in another client's schema or with another's parameters. Cause: a cancelled attempt released its connection while the response to its PREPARE or selection of a schema was due, and the response went to whatever attempt had the connection by then. The cache of statements then took a text twice, and evicted a place whose statement had been freed. Change: policy::EngineSession, free of I/O, records whom each awaited response belongs to and lets no attempt in while one is due. The cache replaces a statement that it holds.

--- a/src/upstream/engine_statement_cache.cpp
+++ b/src/upstream/engine_statement_cache.cpp
@@ -9,9 +9,12 @@
   return found->second.id;
 }
 
-void EngineStatementCache::add(const std::string& text, std::uint32_t id) {
+std::vector<std::uint32_t> EngineStatementCache::add(const std::string& text, std::uint32_t id) {
+  std::vector<std::uint32_t> removed = evict(text);
+  if (statements_.size() >= kMaxPreparedStatements) removed.push_back(erase(use_order_.back()));
   const auto added = statements_.emplace(text, Statement{id, {}}).first;
   added->second.place = use_order_.insert(use_order_.begin(), added);
+  return removed;
 }
 
 void EngineStatementCache::remove(const std::string& text) {
@@ -23,7 +26,6 @@
   std::vector<std::uint32_t> ids;
   const auto found = statements_.find(text);
   if (found != statements_.end()) ids.push_back(erase(found));
-  if (statements_.size() > kMaxPreparedStatements) ids.push_back(erase(use_order_.back()));
   return ids;
 }
 
--- a/src/upstream/engine_statement_cache.h
+++ b/src/upstream/engine_statement_cache.h
@@ -18,12 +18,13 @@
  public:
   // Returns the id of the statement and marks it as most recently used; empty if it is not prepared.
   [[nodiscard]] std::optional<std::uint32_t> use(const std::string& text);
-  // Adds a statement as the most recently used one; it must not be cached.
-  void add(const std::string& text, std::uint32_t id);
+  // Adds a statement as the most recently used one, in place of an earlier one with the same text. Removes
+  // the least recently used one if the cache exceeds its limit. Returns the ids that must be closed at the
+  // engine.
+  [[nodiscard]] std::vector<std::uint32_t> add(const std::string& text, std::uint32_t id);
   // Removes a statement that the engine no longer knows.
   void remove(const std::string& text);
-  // Removes the statement if it is cached, and the least recently used one if the cache exceeds its limit.
-  // Returns the ids that must be closed at the engine.
+  // Removes the statement if it is cached. Returns the ids that must be closed at the engine.
   [[nodiscard]] std::vector<std::uint32_t> evict(const std::string& text);
 
  private:
--- a/src/upstream/mysql_connection.cpp
+++ b/src/upstream/mysql_connection.cpp
@@ -10,6 +10,8 @@
 namespace rookproxy {
 namespace {
 
+using policy::SessionCommand;
+
 constexpr std::size_t kMaxFirstPayloadSize = 1024;
 constexpr std::size_t kNonceSize = 20;
 // First bytes of packets, during the login and in responses.
@@ -48,11 +50,28 @@
     : EngineConnection(pool, key, engine), mysql_pool_(pool), response_(pool.buffered_result_bytes()) {}
 
 bool MysqlConnection::can_accept(const Query* query) const {
-  if (attempt_ || cancelled_ || kill_target_) return false;
-  if (!query) return true;
-  // A session's schema can be changed but not unset. A query without a schema must not run in a session that
-  // has one, because its unqualified table names would resolve.
-  return schema_.empty() || !required_schema(*query).empty();
+  if (!query) return session_.can_probe();
+  return session_.can_accept(session_attempt(*query).schema);
+}
+
+void MysqlConnection::set_kill_target(std::uint32_t engine_connection_id) {
+  kill_target_ = engine_connection_id;
+  session_.dedicate_to_kill();
+}
+
+policy::SessionAttempt MysqlConnection::session_attempt(const Query& query) const {
+  using Kind = policy::SessionAttempt::Kind;
+  switch (query.kind) {
+    case Query::Kind::kUseSchema:
+      return {Kind::kUseSchema, query.statement};
+    case Query::Kind::kPrepare:
+      return {Kind::kPrepare, required_schema(query)};
+    case Query::Kind::kExecute:
+      return {Kind::kExecutePrepared, required_schema(query)};
+    case Query::Kind::kStatement:
+      break;
+  }
+  return {Kind::kStatement, required_schema(query)};
 }
 
 const std::string& MysqlConnection::required_schema(const Query& query) const {
@@ -68,15 +87,15 @@
   send_payload(command_payload(code, arguments));
 }
 
-void MysqlConnection::send_command(State next, std::uint8_t code, std::string_view arguments) {
+void MysqlConnection::send_command(SessionCommand command, std::uint8_t code, std::string_view arguments) {
   using Kind = mysql::ResponseTracker::Kind;
-  state_ = next;
+  session_.on_command_sent(command);
   sequence_ = 0;
-  tracker_ = mysql::ResponseTracker(next == State::kPrepare ? Kind::kPrepare : Kind::kPlain);
+  tracker_ = mysql::ResponseTracker(command == SessionCommand::kPrepare ? Kind::kPrepare : Kind::kPlain);
   response_.clear();
   first_payload_.clear();
   // Only the command that runs the statement counts as the attempt; preceding commands don't.
-  const bool executes = next == State::kExecute;
+  const bool executes = command == SessionCommand::kExecute;
   const Stream::WriteId write =
       send_payload(command_payload(code, arguments), executes ? attempts_written_counter() : nullptr);
   if (executes) execute_write_ = write;
@@ -84,74 +103,77 @@
 
 void MysqlConnection::start_attempt(const AttemptRequest& request) {
   attempt_ = request;
+  session_.assign(session_attempt(*request.query));
   execute_write_.reset();
-  if (state_ == State::kReady) send_next_command();
+  send_next_command();
 }
 
 void MysqlConnection::probe() {
-  ping_pending_ = true;
-  if (state_ == State::kReady) send_next_command();
+  session_.request_ping();
+  send_next_command();
 }
 
 // Returns false if the attempt must not be sent; the attempt is then released.
 bool MysqlConnection::check_start_allowed() {
   if (may_start(*attempt_)) return true;
   attempt_.reset();
+  session_.end_attempt();
   release_attempt();
   return false;
 }
 
-// Sends the next pending command: a kill, a ping, or the next step of the attempt.
+// Sends the command that the session's state asks for, if there is one.
 void MysqlConnection::send_next_command() {
-  state_ = State::kReady;
-  if (kill_target_) {
-    return send_command(State::kKill, mysql::kQuery, "KILL QUERY " + std::to_string(*kill_target_));
-  }
-  if (std::exchange(ping_pending_, false)) return send_command(State::kPing, mysql::kPing, "");
-  if (!attempt_) return;
-  if (!check_start_allowed()) return;
-  const Query& query = *attempt_->query;
-  if (query.kind == Query::Kind::kUseSchema) {
-    return send_command(State::kExecute, mysql::kInitDb, query.statement);
+  if (login_state_ != LoginState::kComplete || session_.is_awaiting_response()) return;
+  std::optional<std::uint32_t> prepared_id;
+  if (attempt_ && attempt_->query->kind == Query::Kind::kExecute) {
+    prepared_id = prepared_statements_.use(attempt_->query->statement);
   }
-  const std::string& schema = required_schema(query);
-  if (schema != schema_ && !schema.empty()) return send_command(State::kSelectSchema, mysql::kInitDb, schema);
-  if (query.kind == Query::Kind::kStatement) {
-    return send_command(State::kExecute, mysql::kQuery, query.statement);
+  const std::optional<SessionCommand> command = session_.next_command(prepared_id.has_value());
+  if (!command) return;
+  if (*command == SessionCommand::kKill) {
+    return send_command(*command, mysql::kQuery, "KILL QUERY " + std::to_string(kill_target_));
   }
-  if (query.kind == Query::Kind::kPrepare) {
-    close_prepared(query.statement);
-    return send_command(State::kPrepare, mysql::kStmtPrepare, query.statement);
+  if (*command == SessionCommand::kPing) return send_command(*command, mysql::kPing, "");
+  if (check_start_allowed()) send_attempt_command(*command, prepared_id);
+}
+
+void MysqlConnection::send_attempt_command(SessionCommand command, std::optional<std::uint32_t> prepared_id) {
+  const Query& query = *attempt_->query;
+  if (command == SessionCommand::kSelectSchema) {
+    return send_command(command, mysql::kInitDb, required_schema(query));
   }
-  const std::optional<std::uint32_t> statement_id = prepared_statements_.use(query.statement);
-  if (!statement_id) return send_command(State::kPrepare, mysql::kStmtPrepare, query.statement);
-  execute_prepared(*statement_id);
+  if (command == SessionCommand::kExecute) return send_execution(prepared_id);
+  close_statements(prepared_statements_.evict(query.statement));
+  send_command(command, mysql::kStmtPrepare, query.statement);
 }
 
-void MysqlConnection::execute_prepared(std::uint32_t statement_id) {
-  state_ = State::kReady;
-  if (!check_start_allowed()) return send_next_command();
+void MysqlConnection::send_execution(std::optional<std::uint32_t> prepared_id) {
   const Query& query = *attempt_->query;
-  const std::string id_bytes = little_endian(statement_id, 4);
+  if (!prepared_id) {
+    const bool uses_schema = query.kind == Query::Kind::kUseSchema;
+    return send_command(SessionCommand::kExecute, uses_schema ? mysql::kInitDb : mysql::kQuery,
+                        query.statement);
+  }
+  const std::string id_bytes = little_endian(*prepared_id, 4);
   for (const auto& [parameter, data] : query.long_data) {
     send_without_response(mysql::kStmtSendLongData, id_bytes + little_endian(parameter, 2) + data);
   }
-  send_command(State::kExecute, mysql::kStmtExecute, id_bytes + query.parameters);
+  send_command(SessionCommand::kExecute, mysql::kStmtExecute, id_bytes + query.parameters);
 }
 
-void MysqlConnection::close_prepared(const std::string& text) {
-  for (const std::uint32_t id : prepared_statements_.evict(text)) {
-    send_without_response(mysql::kStmtClose, little_endian(id, 4));
-  }
+void MysqlConnection::close_statements(const std::vector<std::uint32_t>& ids) {
+  for (const std::uint32_t id : ids) send_without_response(mysql::kStmtClose, little_endian(id, 4));
 }
 
 bool MysqlConnection::cancel_attempt(AttemptKey attempt) {
-  if (!attempt_ || attempt_->key != attempt || cancelled_) return false;
+  if (!attempt_ || attempt_->key != attempt) return false;
   // A command that was not sent can't have run. Preceding commands may still complete.
   const bool unsent = !execute_write_ || stream().cancel_write(*execute_write_);
   const bool writes = attempt_->query->writes;
   attempt_.reset();
-  if (unsent && state_ != State::kExecute) {
+  session_.end_attempt();
+  if (unsent && !session_.is_awaiting(SessionCommand::kExecute)) {
     release_attempt();
     return true;
   }
@@ -160,7 +182,6 @@
     fail_connection("attempt cancelled before it was sent");
     return true;
   }
-  cancelled_ = true;
   drain();
   // The protocol can't cancel a statement on its own connection. A statement that only reads is killed
   // through another connection. A statement that writes runs to its end, because a partial write may be worse
@@ -179,18 +200,18 @@
 
 void MysqlConnection::end_unsent_attempts() {
   if (!attempt_ || (execute_write_ && !stream().cancel_write(*execute_write_))) return;
-  const bool awaits_response = state_ == State::kExecute;
+  const bool awaits_execution = session_.is_awaiting(SessionCommand::kExecute);
   end_attempt(Outcome::kNotSent);
-  if (awaits_response) fail_connection("attempt withdrawn before it was sent");
+  if (awaits_execution) fail_connection("attempt withdrawn before it was sent");
 }
 
 void MysqlConnection::on_connection_lost(std::string_view reason) {
   response_.clear();
-  cancelled_ = false;
   if (!attempt_) return;
   const bool started = execute_write_ && stream().has_write_started(*execute_write_);
   const AttemptRequest attempt = *attempt_;
   attempt_.reset();
+  session_.end_attempt();
   if (!started) return retry_unsent_attempt(attempt, reason);
   complete_attempt(attempt.key, {Outcome::kConnectionLost, std::nullopt, std::string(reason)});
 }
@@ -200,6 +221,7 @@
   if (!attempt_) return;
   const AttemptKey key = attempt_->key;
   attempt_.reset();
+  session_.end_attempt();
   complete_attempt(key, {outcome, std::nullopt, std::move(body)});
   release_attempt();
 }
@@ -221,12 +243,12 @@
 }
 
 void MysqlConnection::handle_packet(std::string_view packet, std::uint8_t sequence) {
-  if (state_ == State::kGreeting || state_ == State::kLogin) {
+  if (login_state_ != LoginState::kComplete) {
     sequence_ = static_cast<std::uint8_t>(sequence + 1);
     return handle_login_packet(packet.substr(mysql::kHeaderSize));
   }
   // Servers send an unsolicited error when they close an idle session.
-  if (state_ == State::kReady) return fail_connection("unsolicited packet on an idle connection");
+  if (!session_.is_awaiting_response()) return fail_connection("unsolicited packet on an idle connection");
   if (sequence != sequence_) throw mysql::MalformedPacketError("packets out of order");
   ++sequence_;
   handle_response_packet(packet);
@@ -249,8 +271,9 @@
 void MysqlConnection::handle_login_packet(std::string_view payload) {
   if (payload.empty()) throw mysql::MalformedPacketError("empty packet during login");
   if (payload[0] == kErrorPacket) return handle_login_error(payload);
-  if (state_ == State::kGreeting) return respond_to_greeting(payload);
+  if (login_state_ == LoginState::kGreeting) return respond_to_greeting(payload);
   if (payload[0] == kOkPacket) {
+    login_state_ = LoginState::kComplete;
     EngineConnection::on_connected();
     return send_next_command();
   }
@@ -289,7 +312,7 @@
   login.user = account.user;
   login.plugin = plugin_known ? greeting.plugin : std::string(mysql::kNativePassword);
   login.auth_response = *mysql::make_auth_response(login.plugin, account.password, nonce_);
-  state_ = State::kLogin;
+  login_state_ = LoginState::kAuthentication;
   send_payload(mysql::login_payload(login));
 }
 
@@ -322,47 +345,52 @@
 }
 
 void MysqlConnection::on_response_complete() {
-  switch (state_) {
-    case State::kKill:
+  const policy::SessionResponse response = session_.on_response(tracker_.failed());
+  switch (response.command) {
+    case SessionCommand::kKill:
       return fail_connection("kill command complete");
-    case State::kPing:
-      state_ = State::kReady;
+    case SessionCommand::kPing:
       complete_probe(tracker_.failed() ? Outcome::kError : Outcome::kServed, std::nullopt);
-      return send_next_command();
-    case State::kSelectSchema:
-      return on_schema_selected();
-    case State::kPrepare:
-      return on_prepared();
-    case State::kExecute:
-      return on_execution_complete();
-    case State::kGreeting:
-    case State::kLogin:
-    case State::kReady:
-      return;
+      break;
+    case SessionCommand::kSelectSchema:
+      // An unknown schema is the client's error, and no statement ran.
+      if (response.belongs_to_attempt && tracker_.failed()) {
+        complete_from_response(policy::AttemptProgress::kNotRequested);
+      }
+      break;
+    case SessionCommand::kPrepare:
+      on_prepared(response.belongs_to_attempt);
+      break;
+    case SessionCommand::kExecute:
+      on_executed(response.belongs_to_attempt);
+      break;
   }
-}
-
-void MysqlConnection::on_schema_selected() {
-  if (!attempt_) return send_next_command();
-  if (tracker_.failed())
-    return on_execution_complete();  // An unknown schema is the client's error, and no statement ran.
-  schema_ = required_schema(*attempt_->query);
   send_next_command();
 }
 
-void MysqlConnection::on_prepared() {
-  if (tracker_.failed()) return on_execution_complete();
+void MysqlConnection::on_prepared(bool belongs_to_attempt) {
+  if (tracker_.failed()) {
+    if (belongs_to_attempt) complete_from_response(policy::AttemptProgress::kNotRequested);
+    return;
+  }
   mysql::PayloadReader reader(first_payload_);
   reader.integer(1);
   const auto statement_id = static_cast<std::uint32_t>(reader.integer(4));
-  if (!attempt_) {  // The attempt was cancelled.
-    send_without_response(mysql::kStmtClose, little_endian(statement_id, 4));
-    return send_next_command();
+  if (!belongs_to_attempt) return close_statements({statement_id});
+  close_statements(prepared_statements_.add(attempt_->query->statement, statement_id));
+  if (attempt_->query->kind == Query::Kind::kPrepare) {
+    complete_from_response(policy::AttemptProgress::kNotRequested);
   }
-  prepared_statements_.add(attempt_->query->statement, statement_id);
-  if (attempt_->query->kind == Query::Kind::kPrepare) return on_execution_complete();
-  close_prepared("");  // Closes the oldest statement if there are too many.
-  execute_prepared(statement_id);
+}
+
+void MysqlConnection::on_executed(bool belongs_to_attempt) {
+  if (!belongs_to_attempt) return release_attempt();  // The connection is draining and closes.
+  // A procedure may leave state in the session.
+  if (is_procedure_call(attempt_->query->statement)) {
+    session_.retire();
+    drain();
+  }
+  complete_from_response(policy::AttemptProgress::kRequested);
 }
 
 // Returns the outcome of the attempt. If the engine may not know the prepared statement, the next execution
@@ -381,36 +409,24 @@
 }
 
 // Determines the outcome of the attempt after its last response, or after the response that ended it early.
-void MysqlConnection::on_execution_complete() {
-  const bool was_executing = state_ == State::kExecute;
-  state_ = State::kReady;
-  if (std::exchange(cancelled_, false)) return release_attempt();  // The connection is draining and closes.
-  if (!attempt_) return send_next_command();
-  const Query& query = *attempt_->query;
+void MysqlConnection::complete_from_response(policy::AttemptProgress progress) {
   Outcome outcome = Outcome::kServed;
   std::string message;
   if (tracker_.failed()) {
     // An error may follow rows; the client then receives the rows and the error.
     const bool is_first_packet = first_payload_.starts_with(kErrorPacket);
     mysql::ErrorInfo error = is_first_packet ? mysql::parse_error(first_payload_) : mysql::ErrorInfo{};
-    const auto progress =
-        was_executing ? policy::AttemptProgress::kRequested : policy::AttemptProgress::kNotRequested;
     outcome = handle_statement_error(error.code, progress);
     message = std::move(error.text);
-  } else if (query.kind == Query::Kind::kUseSchema) {
-    schema_ = query.statement;
   }
-  // A procedure may leave state in the session.
-  if (was_executing && is_procedure_call(query.statement)) drain();
   std::string body = response_.take();
   try {
-    if (outcome == Outcome::kServed && query.rows_as_text_lines) body = mysql::format_rows(body);
+    if (outcome == Outcome::kServed && attempt_->query->rows_as_text_lines) body = mysql::format_rows(body);
   } catch (const mysql::MalformedPacketError& error) {
     outcome = Outcome::kError;
     message = error.what();
   }
   end_attempt(outcome, outcome == Outcome::kServed ? std::move(body) : std::move(message));
-  if (ping_pending_ && state_ == State::kReady) send_next_command();
 }
 
 }  // namespace rookproxy
--- a/src/upstream/mysql_connection.h
+++ b/src/upstream/mysql_connection.h
@@ -6,9 +6,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "mysql/protocol.h"
 #include "net/slot_map.h"
+#include "policy/engine_session.h"
 #include "policy/execution_evidence.h"
 #include "upstream/engine_connection.h"
 #include "upstream/engine_statement_cache.h"
@@ -31,18 +33,18 @@
   std::size_t on_bytes(std::string_view bytes) override;
   // Dedicates this connection to killing the query that runs on the given connection of the engine. It is
   // closed afterwards and serves no attempts.
-  void set_kill_target(std::uint32_t engine_connection_id) { kill_target_ = engine_connection_id; }
+  void set_kill_target(std::uint32_t engine_connection_id);
 
  private:
-  // The response that the connection waits for.
-  enum class State { kGreeting, kLogin, kReady, kSelectSchema, kPrepare, kExecute, kPing, kKill };
+  // The progress of the login.
+  enum class LoginState { kGreeting, kAuthentication, kComplete };
 
   void start_attempt(const AttemptRequest& request) override;
   void probe() override;
   void on_connection_lost(std::string_view reason) override;
   bool can_accept(const Query* query) const override;
 
-  void send_command(State next, std::uint8_t code, std::string_view arguments);
+  void send_command(policy::SessionCommand command, std::uint8_t code, std::string_view arguments);
   void send_without_response(std::uint8_t code, std::string_view arguments);
   Stream::WriteId send_payload(std::string_view payload, std::uint64_t* completed_counter = nullptr);
 
@@ -53,35 +55,35 @@
   void send_password(std::string_view public_key);
 
   void send_next_command();
+  void send_attempt_command(policy::SessionCommand command, std::optional<std::uint32_t> prepared_id);
+  void send_execution(std::optional<std::uint32_t> prepared_id);
   [[nodiscard]] bool check_start_allowed();
-  void execute_prepared(std::uint32_t statement_id);
-  void close_prepared(const std::string& text);
+  void close_statements(const std::vector<std::uint32_t>& ids);
 
   void handle_packet(std::string_view packet, std::uint8_t sequence);
   void handle_response_packet(std::string_view packet);
   void reject_large_result();
   void on_response_complete();
-  void on_schema_selected();
-  void on_prepared();
-  void on_execution_complete();
+  void on_prepared(bool belongs_to_attempt);
+  void on_executed(bool belongs_to_attempt);
+  void complete_from_response(policy::AttemptProgress progress);
   [[nodiscard]] Outcome handle_statement_error(std::uint16_t code, policy::AttemptProgress progress);
   void end_attempt(Outcome outcome, std::string body = "");
 
   [[nodiscard]] const std::string& required_schema(const Query& query) const;
+  [[nodiscard]] policy::SessionAttempt session_attempt(const Query& query) const;
 
   MysqlPool& mysql_pool_;
-  State state_ = State::kGreeting;
+  LoginState login_state_ = LoginState::kGreeting;
+  policy::EngineSession session_;
   std::uint8_t sequence_ = 0;
   std::uint32_t engine_connection_id_ = 0;
   std::string nonce_;
-  std::string schema_;
-  std::optional<std::uint32_t> kill_target_;
+  std::uint32_t kill_target_ = 0;
+  // The attempt that the session has; the two are set and ended together.
   std::optional<AttemptRequest> attempt_;
-  // True if the running attempt was cancelled; its response is read and discarded.
-  bool cancelled_ = false;
   // The write of the command that runs the attempt's statement.
   std::optional<Stream::WriteId> execute_write_;
-  bool ping_pending_ = false;
   EngineStatementCache prepared_statements_;
   mysql::ResponseTracker tracker_;
   ResponseBuffer response_;
