Fix: incomplete results of MySQL engines took the dispatcher over its memory

One answer in fifty that is said to have a row of 16 MB and keeps coming took the dispatcher over 192 MB in some ten seconds. Cause: a packet was kept in its stream's input until it was complete, and only complete packets were counted; a cancelled read went on to fill its input for 30 s. Change: packets are read in parts. policy::MemoryLedger, free of I/O, is asked before any part of a result is kept, and before the text of a statement is kept for a session with an engine. A result that is said to be too long is rejected at its header; one that nobody waits for is not kept. The response buffer's test checks the same counts against the ledger, and both refusals.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -82,8 +82,7 @@
   dispatcher_.process_events();
   configure_discovery();
   log_peers(log, config);
-  frontends_ =
-      std::make_unique<Frontends>(loop, log, dispatcher_, config, authenticator_.get(), tls_context_);
+  frontends_ = std::make_unique<Frontends>(loop, log, dispatcher_, config, authenticator_.get(), tls_context_);
   open_process_lock_file();
   open_admin_server();
   if (config.cluster) cluster_ = std::make_unique<Cluster>(loop, log, cluster_settings(config), config.seed);
@@ -99,10 +98,9 @@
     return std::make_unique<LineProtocolPool>(loop_, log_, dispatcher_, metrics_, limits);
   }
   const MysqlEnginesConfig& account = config.mysql_engines;
-  return std::make_unique<MysqlPool>(
-      loop_, log_, dispatcher_, metrics_, limits,
-      MysqlAccount{account.user, account.password, account.schema},
-      MysqlResultLimits{kMaxMysqlResultBytes, max_buffered_bytes(config.memory_mb)});
+  return std::make_unique<MysqlPool>(loop_, log_, dispatcher_, metrics_, limits,
+                                     MysqlAccount{account.user, account.password, account.schema},
+                                     kMaxMysqlResultBytes, memory_);
 }
 
 void App::open_process_lock_file() {
@@ -160,6 +158,7 @@
 // clients and engines are halved: what a process needs for itself does not shrink.
 void App::apply_resource_share() {
   const std::size_t process_count = another_process_runs_ ? 2 : 1;
+  memory_->apply_limits(config_.memory_mb << 20U, process_count);
   frontends_->set_resource_limits(config_, process_count);
   dispatcher_.set_process_count(process_count);
   connection_pool_->update_limits(pool_limits(config_, process_count));
--- a/src/mysql/response.cpp
+++ b/src/mysql/response.cpp
@@ -82,9 +82,9 @@
   return payload.size() <= kMaxEofSize && payload.starts_with(kEofHeader);
 }
 
-bool ResponseTracker::on_packet(std::string_view payload) {
+bool ResponseTracker::on_packet(std::string_view payload, std::size_t payload_size) {
   // Only the first packet of a payload that is split into several is examined.
-  const bool belongs_to_previous = std::exchange(is_continued_, payload.size() == kMaxPayloadSize);
+  const bool belongs_to_previous = std::exchange(is_continued_, payload_size == kMaxPayloadSize);
   if (belongs_to_previous) return false;
   switch (state_) {
     case State::kFirst:
--- a/src/mysql/response.h
+++ b/src/mysql/response.h
@@ -1,6 +1,7 @@
 // Responses of the MySQL protocol: OK and error packets, and tracking of responses with several packets.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -33,9 +34,14 @@
   enum class Kind { kPlain, kPrepare };
   explicit ResponseTracker(Kind kind = Kind::kPlain) : kind_(kind) {}
 
+  // The first bytes of a payload that on_packet() needs.
+  static constexpr std::size_t kExaminedBytes = 64;
+
   // Processes the payload of a single packet. Returns whether the response is complete. Throws
   // MalformedPacketError.
-  bool on_packet(std::string_view payload);
+  bool on_packet(std::string_view payload) { return on_packet(payload, payload.size()); }
+  // The same for a payload of `payload_size` bytes of which at least the first kExaminedBytes are given.
+  bool on_packet(std::string_view payload_start, std::size_t payload_size);
   // Returns whether the response ended with an error packet.
   [[nodiscard]] bool failed() const { return failed_; }
   [[nodiscard]] bool has_started() const { return state_ != State::kFirst || is_complete_; }
--- /dev/null
+++ b/src/policy/memory_ledger.h
@@ -0,0 +1,78 @@
+// Accounts for the bytes that a process holds for clients and engines, and decides whether more may be taken.
+//
+//   use                     held                                                       share of the memory
+//   prepared statements     texts and long data of clients' prepared statements        an eighth
+//   engine statements       texts of the statements prepared in sessions with engines  a thirty-second
+//   engine results          results that are being received                            a quarter
+//
+// A holder with more than kSmallHolding bytes may use only three quarters of a limit, so that a few large
+// holdings leave no other client without.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <memory>
+
+namespace rookproxy::policy {
+
+// What bytes are held for. Each use has a limit of its own.
+enum class MemoryUse { kPreparedStatements, kEngineStatements, kEngineResults };
+
+// Without limits until apply_limits() is called.
+class MemoryLedger {
+ public:
+  // The largest holding, in bytes, that may use the whole of a limit.
+  static constexpr std::size_t kSmallHolding = 64 * 1024;
+
+  MemoryLedger();
+
+  // Sets the limits for one of `process_count` processes that share the memory. What is held stays.
+  void apply_limits(std::size_t memory_bytes, std::size_t process_count);
+  void set_limit(MemoryUse use, std::size_t bytes) { account(use).limit = bytes; }
+
+  // Adds `bytes` to a holding of `holding` bytes, or returns false if they must not be taken.
+  [[nodiscard]] bool try_hold(MemoryUse use, std::size_t holding, std::size_t bytes);
+  void release(MemoryUse use, std::size_t bytes);
+  [[nodiscard]] std::size_t held(MemoryUse use) const {
+    return accounts_[static_cast<std::size_t>(use)].held;
+  }
+  [[nodiscard]] std::size_t limit(MemoryUse use) const {
+    return accounts_[static_cast<std::size_t>(use)].limit;
+  }
+
+ private:
+  struct Account {
+    std::size_t held = 0;
+    std::size_t limit = 0;
+  };
+  static constexpr std::size_t kUseCount = 3;
+
+  Account& account(MemoryUse use) { return accounts_[static_cast<std::size_t>(use)]; }
+
+  std::array<Account, kUseCount> accounts_;
+};
+
+// The bytes of one owner, which are released with it.
+class MemoryHolding {
+ public:
+  MemoryHolding() = default;
+  MemoryHolding(std::shared_ptr<MemoryLedger> ledger, MemoryUse use);
+  ~MemoryHolding() { release(); }
+  MemoryHolding(MemoryHolding&& other) noexcept;
+  MemoryHolding& operator=(MemoryHolding&& other) noexcept;
+  MemoryHolding(const MemoryHolding&) = delete;
+  MemoryHolding& operator=(const MemoryHolding&) = delete;
+
+  // Must be asked before the bytes are taken. Returns false if they must not be.
+  [[nodiscard]] bool try_add(std::size_t bytes);
+  void remove(std::size_t bytes);
+  void release() { remove(bytes_); }
+  [[nodiscard]] std::size_t bytes() const { return bytes_; }
+
+ private:
+  std::shared_ptr<MemoryLedger> ledger_;
+  MemoryUse use_ = MemoryUse::kPreparedStatements;
+  std::size_t bytes_ = 0;
+};
+
+}  // namespace rookproxy::policy
--- a/src/upstream/engine_statement_cache.cpp
+++ b/src/upstream/engine_statement_cache.cpp
@@ -3,6 +3,7 @@
 namespace rookproxy {
 
 std::optional<std::uint32_t> EngineStatementCache::use(const std::string& text) {
+  if (single_use_id_) return single_use_id_;
   const auto found = statements_.find(text);
   if (found == statements_.end()) return std::nullopt;
   use_order_.splice(use_order_.begin(), use_order_, found->second.place);
@@ -12,11 +13,23 @@
 std::vector<std::uint32_t> EngineStatementCache::add(const std::string& text, std::uint32_t id) {
   std::vector<std::uint32_t> removed = evict(text);
   if (statements_.size() >= kMaxPreparedStatements) removed.push_back(erase(use_order_.back()));
+  while (!holding_.try_add(text.size())) {
+    if (statements_.empty()) {
+      single_use_id_ = id;
+      return removed;
+    }
+    removed.push_back(erase(use_order_.back()));
+  }
   const auto added = statements_.emplace(text, Statement{id, {}}).first;
   added->second.place = use_order_.insert(use_order_.begin(), added);
   return removed;
 }
 
+std::vector<std::uint32_t> EngineStatementCache::end_use() {
+  if (!single_use_id_) return {};
+  return {*std::exchange(single_use_id_, std::nullopt)};
+}
+
 void EngineStatementCache::remove(const std::string& text) {
   const auto found = statements_.find(text);
   if (found != statements_.end()) erase(found);
@@ -31,6 +44,7 @@
 
 std::uint32_t EngineStatementCache::erase(Statements::iterator statement) {
   const std::uint32_t id = statement->second.id;
+  holding_.remove(statement->first.size());
   use_order_.erase(statement->second.place);
   statements_.erase(statement);
   return id;
--- a/src/upstream/engine_statement_cache.h
+++ b/src/upstream/engine_statement_cache.h
@@ -5,10 +5,14 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "policy/memory_ledger.h"
+
 namespace rookproxy {
 
 // An LRU cache that maps the text of a prepared statement to the id that the engine assigned. It sends
@@ -16,12 +20,19 @@
 // compared with few others: they are ordered, since clients could choose texts whose hashes collide.
 class EngineStatementCache {
  public:
-  // Returns the id of the statement and marks it as most recently used; empty if it is not prepared.
+  explicit EngineStatementCache(std::shared_ptr<policy::MemoryLedger> ledger)
+      : holding_(std::move(ledger), policy::MemoryUse::kEngineStatements) {}
+
+  // Returns the id of the statement and marks it as most recently used, or that of the statement in single
+  // use. Empty if it is not prepared.
   [[nodiscard]] std::optional<std::uint32_t> use(const std::string& text);
   // Adds a statement as the most recently used one, in place of an earlier one with the same text. Removes
-  // the least recently used one if the cache exceeds its limit. Returns the ids that must be closed at the
+  // the least recently used ones if the cache exceeds its limit or memory is short. A statement whose text
+  // can't be kept even so is in single use until end_use(). Returns the ids that must be closed at the
   // engine.
   [[nodiscard]] std::vector<std::uint32_t> add(const std::string& text, std::uint32_t id);
+  // Ends the single use of a statement, if there is one. Returns the ids that must be closed at the engine.
+  [[nodiscard]] std::vector<std::uint32_t> end_use();
   // Removes a statement that the engine no longer knows.
   void remove(const std::string& text);
   // Removes the statement if it is cached. Returns the ids that must be closed at the engine.
@@ -44,6 +55,9 @@
   // Returns the id of the removed statement.
   std::uint32_t erase(Statements::iterator statement);
 
+  // The texts of the statements.
+  policy::MemoryHolding holding_;
+  std::optional<std::uint32_t> single_use_id_;
   Statements statements_;
   UseOrder use_order_;
 };
--- a/src/upstream/mysql_connection.cpp
+++ b/src/upstream/mysql_connection.cpp
@@ -13,6 +13,12 @@
 using policy::SessionCommand;
 
 constexpr std::size_t kMaxFirstPayloadSize = 1024;
+// Packets of the login are short; the longest one has a public key.
+constexpr std::size_t kMaxLoginPacketSize = 16 * 1024;
+// How much is kept of a payload that arrives in parts: all that any reader of it needs.
+constexpr std::size_t kMaxKeptStart = kMaxLoginPacketSize;
+static_assert(kMaxKeptStart >= kMaxFirstPayloadSize &&
+              kMaxFirstPayloadSize >= mysql::ResponseTracker::kExaminedBytes);
 constexpr std::size_t kNonceSize = 20;
 // First bytes of packets, during the login and in responses.
 constexpr char kOkPacket = '\x00';
@@ -47,7 +53,10 @@
 }  // namespace
 
 MysqlConnection::MysqlConnection(MysqlPool& pool, SlotKey key, EngineId engine)
-    : EngineConnection(pool, key, engine), mysql_pool_(pool), response_(pool.buffered_result_bytes()) {}
+    : EngineConnection(pool, key, engine),
+      mysql_pool_(pool),
+      prepared_statements_(pool.memory()),
+      response_(pool.memory(), pool.max_result_bytes()) {}
 
 bool MysqlConnection::can_accept(const Query* query) const {
   if (!query) return session_.can_probe();
@@ -116,8 +125,7 @@
 // Returns false if the attempt must not be sent; the attempt is then released.
 bool MysqlConnection::check_start_allowed() {
   if (may_start(*attempt_)) return true;
-  attempt_.reset();
-  session_.end_attempt();
+  end_session_attempt();
   release_attempt();
   return false;
 }
@@ -157,7 +165,10 @@
   }
   const std::string id_bytes = little_endian(*prepared_id, 4);
   for (const auto& [parameter, data] : query.long_data) {
-    send_without_response(mysql::kStmtSendLongData, id_bytes + little_endian(parameter, 2) + data);
+    std::string arguments = id_bytes;
+    arguments += little_endian(parameter, 2);
+    arguments += data;
+    send_without_response(mysql::kStmtSendLongData, arguments);
   }
   send_command(SessionCommand::kExecute, mysql::kStmtExecute, id_bytes + query.parameters);
 }
@@ -171,8 +182,8 @@
   // A command that was not sent can't have run. Preceding commands may still complete.
   const bool unsent = !execute_write_ || stream().cancel_write(*execute_write_);
   const bool writes = attempt_->query->writes;
-  attempt_.reset();
-  session_.end_attempt();
+  end_session_attempt();
+  response_.clear();  // What still arrives of it is not kept.
   if (unsent && !session_.is_awaiting(SessionCommand::kExecute)) {
     release_attempt();
     return true;
@@ -220,52 +231,87 @@
   execute_write_.reset();
   if (!attempt_) return;
   const AttemptKey key = attempt_->key;
-  attempt_.reset();
-  session_.end_attempt();
+  end_session_attempt();
   complete_attempt(key, {outcome, std::nullopt, std::move(body)});
   release_attempt();
 }
 
+void MysqlConnection::end_session_attempt() {
+  attempt_.reset();
+  session_.end_attempt();
+  const std::vector<std::uint32_t> unused = prepared_statements_.end_use();
+  // A session that an execution leaves is closed.
+  if (!session_.is_awaiting(SessionCommand::kExecute)) close_statements(unused);
+}
+
 std::size_t MysqlConnection::on_bytes(std::string_view bytes) {
-  if (bytes.size() < mysql::kHeaderSize) return 0;
-  mysql::PayloadReader header(bytes.substr(0, mysql::kHeaderSize));
-  const std::size_t size = header.integer(3);
-  const auto sequence = static_cast<std::uint8_t>(header.integer(1));
-  if (bytes.size() - mysql::kHeaderSize < size) return 0;
+  if (!packet_ && bytes.size() < mysql::kHeaderSize) return 0;
   record_activity();
-  const std::string_view packet = bytes.substr(0, mysql::kHeaderSize + size);
   try {
-    handle_packet(packet, sequence);
+    return read_packet_part(bytes);
   } catch (const mysql::MalformedPacketError& error) {
     fail_connection(error.what());
   }
-  return packet.size();
+  return bytes.size();
 }
 
-void MysqlConnection::handle_packet(std::string_view packet, std::uint8_t sequence) {
+// Takes what has arrived of one packet, so that an incomplete packet is held only if its response is kept,
+// within the limits on results. Returns the number of bytes taken.
+std::size_t MysqlConnection::read_packet_part(std::string_view bytes) {
+  std::size_t taken = 0;
+  if (!packet_) {
+    taken = mysql::kHeaderSize;
+    begin_packet(bytes.substr(0, taken));
+    if (!packet_) return bytes.size();  // The connection was closed.
+  }
+  const std::string_view part = bytes.substr(taken, packet_->missing_bytes);
+  taken += part.size();
+  packet_->missing_bytes -= part.size();
+  if (is_response_kept() && !response_.try_append(part)) {
+    reject_large_result();
+    fail_connection("result exceeds the limit of buffered bytes");
+    return taken;
+  }
+  const bool is_whole = part.size() == packet_->size;
+  if (!is_whole) packet_->start += part.substr(0, kMaxKeptStart - packet_->start.size());
+  if (packet_->missing_bytes > 0) return taken;
+  const IncomingPacket packet = *std::exchange(packet_, std::nullopt);
+  end_packet(is_whole ? part : std::string_view(packet.start), packet.size);
+  return taken;
+}
+
+// An attempt may be assigned while the login or a ping still goes on; it waits for other responses.
+bool MysqlConnection::is_response_kept() const {
+  return login_state_ == LoginState::kComplete && attempt_.has_value();
+}
+
+// Leaves no packet if the connection had to be closed.
+void MysqlConnection::begin_packet(std::string_view header) {
+  mysql::PayloadReader reader(header);
+  const std::size_t size = reader.integer(3);
+  const auto sequence = static_cast<std::uint8_t>(reader.integer(1));
   if (login_state_ != LoginState::kComplete) {
-    sequence_ = static_cast<std::uint8_t>(sequence + 1);
-    return handle_login_packet(packet.substr(mysql::kHeaderSize));
+    if (size > kMaxLoginPacketSize) throw mysql::MalformedPacketError("oversized packet during login");
+    sequence_ = sequence;
+  } else if (!session_.is_awaiting_response()) {
+    // Servers send an unsolicited error when they close an idle session.
+    return fail_connection("unsolicited packet on an idle connection");
   }
-  // Servers send an unsolicited error when they close an idle session.
-  if (!session_.is_awaiting_response()) return fail_connection("unsolicited packet on an idle connection");
   if (sequence != sequence_) throw mysql::MalformedPacketError("packets out of order");
   ++sequence_;
-  handle_response_packet(packet);
-}
-
-void MysqlConnection::handle_response_packet(std::string_view packet) {
-  const std::string_view payload = packet.substr(mysql::kHeaderSize);
-  if (first_payload_.empty()) first_payload_ = payload.substr(0, kMaxFirstPayloadSize);
-  response_.append(packet);
-  const MysqlResultLimits& result_limits = mysql_pool_.result_limits();
-  if (response_.size() > result_limits.max_result_bytes ||
-      mysql_pool_.buffered_result_bytes() > result_limits.max_total_result_bytes) {
+  // The stated size decides, so that no part of a packet is kept that would be rejected as a whole.
+  if (is_response_kept() &&
+      (!response_.has_room_for(header.size() + size) || !response_.try_append(header))) {
     reject_large_result();
-    fail_connection("result exceeds the limit of buffered bytes");
-  } else if (tracker_.on_packet(payload)) {
-    on_response_complete();
+    return fail_connection("result exceeds the limit of buffered bytes");
   }
+  packet_ = IncomingPacket{size, size, ""};
+}
+
+void MysqlConnection::end_packet(std::string_view payload_start, std::size_t payload_size) {
+  if (login_state_ != LoginState::kComplete) return handle_login_packet(payload_start);
+  if (first_payload_.empty()) first_payload_ = payload_start.substr(0, kMaxFirstPayloadSize);
+  if (tracker_.on_packet(payload_start, payload_size)) on_response_complete();
 }
 
 void MysqlConnection::handle_login_packet(std::string_view payload) {
@@ -337,7 +383,7 @@
 void MysqlConnection::reject_large_result() {
   if (!attempt_) return;
   const std::string message =
-      "Result of more than " + std::to_string(mysql_pool_.result_limits().max_result_bytes) + " bytes";
+      "Result of more than " + std::to_string(mysql_pool_.max_result_bytes()) + " bytes";
   if (attempt_->query->rows_as_text_lines) return end_attempt(Outcome::kError, message);
   std::uint8_t first_sequence = 1;
   end_attempt(Outcome::kServed, mysql::split_into_packets(
--- a/src/upstream/mysql_connection.h
+++ b/src/upstream/mysql_connection.h
@@ -60,8 +60,10 @@
   [[nodiscard]] bool check_start_allowed();
   void close_statements(const std::vector<std::uint32_t>& ids);
 
-  void handle_packet(std::string_view packet, std::uint8_t sequence);
-  void handle_response_packet(std::string_view packet);
+  [[nodiscard]] std::size_t read_packet_part(std::string_view bytes);
+  void begin_packet(std::string_view header);
+  void end_packet(std::string_view payload_start, std::size_t payload_size);
+  [[nodiscard]] bool is_response_kept() const;
   void reject_large_result();
   void on_response_complete();
   void on_prepared(bool belongs_to_attempt);
@@ -69,6 +71,7 @@
   void complete_from_response(policy::AttemptProgress progress);
   [[nodiscard]] Outcome handle_statement_error(std::uint16_t code, policy::AttemptProgress progress);
   void end_attempt(Outcome outcome, std::string body = "");
+  void end_session_attempt();
 
   [[nodiscard]] const std::string& required_schema(const Query& query) const;
   [[nodiscard]] policy::SessionAttempt session_attempt(const Query& query) const;
@@ -85,7 +88,16 @@
   // The write of the command that runs the attempt's statement.
   std::optional<Stream::WriteId> execute_write_;
   EngineStatementCache prepared_statements_;
+  // The packet that is being received.
+  struct IncomingPacket {
+    std::size_t size = 0;
+    std::size_t missing_bytes = 0;
+    // The first bytes of its payload, unless the whole of it arrived at once.
+    std::string start;
+  };
+  std::optional<IncomingPacket> packet_;
   mysql::ResponseTracker tracker_;
+  // The response, if an attempt waits for it. Other responses are read without being kept.
   ResponseBuffer response_;
   // The first payload of the response, truncated.
   std::string first_payload_;
--- a/src/upstream/mysql_pool.cpp
+++ b/src/upstream/mysql_pool.cpp
@@ -9,10 +9,12 @@
 namespace rookproxy {
 
 MysqlPool::MysqlPool(EventLoop& loop, Logger& log, EngineTransportCallbacks& callbacks, Metrics& metrics,
-                     const PoolLimits& limits, MysqlAccount account, const MysqlResultLimits& result_limits)
+                     const PoolLimits& limits, MysqlAccount account, std::size_t max_result_bytes,
+                     std::shared_ptr<policy::MemoryLedger> memory)
     : ConnectionPool(loop, log, callbacks, metrics, limits),
       account_(std::move(account)),
-      result_limits_(result_limits) {}
+      max_result_bytes_(max_result_bytes),
+      memory_(std::move(memory)) {}
 
 std::unique_ptr<EngineConnection> MysqlPool::create_connection(SlotKey key, EngineId engine) {
   return std::make_unique<MysqlConnection>(*this, key, engine);
--- a/src/upstream/response_buffer.h
+++ b/src/upstream/response_buffer.h
@@ -2,37 +2,42 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "policy/memory_ledger.h"
+
 namespace rookproxy {
 
-// Holds the bytes of one response and adds their number to `total`, the sum over the buffers of all
-// connections. The destructor does not update the total, because the total belongs to a pool that is
-// destroyed before its connections. Code that closes a connection earlier must clear its buffer.
+// Holds the bytes of one response, which count as results of engines.
 class ResponseBuffer {
  public:
-  // `total` is in bytes and must outlive all other calls.
-  explicit ResponseBuffer(std::size_t& total) : total_(total) {}
+  ResponseBuffer(std::shared_ptr<policy::MemoryLedger> ledger, std::size_t max_size)
+      : holding_(std::move(ledger), policy::MemoryUse::kEngineResults), max_size_(max_size) {}
 
-  void append(std::string_view bytes) {
-    bytes_ += bytes;
-    total_ += bytes.size();
+  // Returns whether a response that grows by `bytes` is within the limit for one response.
+  [[nodiscard]] bool has_room_for(std::size_t bytes) const {
+    return bytes <= max_size_ && bytes_.size() <= max_size_ - bytes;
   }
-  void clear() {
-    total_ -= bytes_.size();
-    bytes_.clear();
+  // Returns false and appends nothing if the limit for one response or the one for all is exceeded.
+  [[nodiscard]] bool try_append(std::string_view bytes) {
+    if (!has_room_for(bytes.size()) || !holding_.try_add(bytes.size())) return false;
+    bytes_ += bytes;
+    return true;
   }
+  void clear() { (void)take(); }
   // Returns the bytes and leaves the buffer empty.
   [[nodiscard]] std::string take() {
-    total_ -= bytes_.size();
+    holding_.release();
     return std::exchange(bytes_, {});
   }
   [[nodiscard]] std::size_t size() const { return bytes_.size(); }
 
  private:
-  std::size_t& total_;
+  policy::MemoryHolding holding_;
+  std::size_t max_size_;
   std::string bytes_;
 };
 
--- a/tests/integration/mysql_engine_session_test.cpp
+++ b/tests/integration/mysql_engine_session_test.cpp
@@ -1,14 +1,17 @@
 // Sessions with engines that speak MySQL, in orders of events that the test controls: it plays the engine.
 #include <catch2/catch.hpp>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <sstream>
 #include <string>
+#include <vector>
 
 #include "fakes/sockets.h"
 #include "mysql/protocol.h"
 #include "net/sockets.h"
+#include "policy/memory_ledger.h"
 #include "support/run_until.h"
 #include "support/scripted_mysql_session.h"
 #include "upstream/mysql_pool.h"
@@ -21,6 +24,7 @@
 constexpr EngineId kEngine = 0;
 constexpr std::size_t kMaxResultBytes = 1U << 20;
 constexpr std::size_t kMaxTotalResultBytes = 2U << 20;
+constexpr std::size_t kMaxTotalOfLargeResults = kMaxTotalResultBytes / 4 * 3;
 
 std::string command(std::uint8_t code, const std::string& arguments) {
   return std::string(1, static_cast<char>(code)) + arguments;
@@ -29,7 +33,11 @@
 // A pool with one engine, and the ends of its attempts.
 class PoolFixture final : public EngineTransportCallbacks {
  public:
-  PoolFixture() { pool.set_engine_address(kEngine, {kLoopbackAddress, local_port(listener)}); }
+  PoolFixture() {
+    memory->set_limit(policy::MemoryUse::kEngineResults, kMaxTotalResultBytes);
+    pool.set_engine_address(kEngine, {kLoopbackAddress, local_port(listener)});
+  }
+  [[nodiscard]] std::size_t held_results() const { return memory->held(policy::MemoryUse::kEngineResults); }
 
   AttemptKey send(Query::Kind kind, const std::string& statement, const std::string& schema = "") {
     auto query = std::make_shared<Query>();
@@ -63,13 +71,8 @@
   Logger log{log_text, LogLevel::kDebug, "h", "a"};
   Metrics metrics;
   std::map<AttemptKey, AttemptResult> ended;
-  MysqlPool pool{loop,
-                 log,
-                 *this,
-                 metrics,
-                 {},
-                 {"rookproxy", "engine-secret", ""},
-                 {kMaxResultBytes, kMaxTotalResultBytes}};
+  std::shared_ptr<policy::MemoryLedger> memory = std::make_shared<policy::MemoryLedger>();
+  MysqlPool pool{loop, log, *this, metrics, {}, {"rookproxy", "engine-secret", ""}, kMaxResultBytes, memory};
 
  private:
   RequestKey requests_ = 0;
@@ -138,3 +141,119 @@
   session.send_ok();
   CHECK(fixture.wait_for_end(lookup));
 }
+
+namespace {
+
+// The header of a packet, and the packets of a text result with one column before its rows.
+std::string packet_header(std::size_t size, std::uint8_t sequence) {
+  std::string header;
+  mysql::append_integer(header, size, 3);
+  header += static_cast<char>(sequence);
+  return header;
+}
+
+void send_result_start(ScriptedMysqlSession& session) {
+  session.send_packet("\1");
+  session.send_packet("column definition");
+  session.send_packet(std::string_view("\xfe\0\0\2\0", 5));
+}
+
+constexpr std::uint8_t kFirstRowSequence = 4;
+
+}  // namespace
+
+TEST_CASE("mysql session: a row that is said to be too long is rejected at its header") {
+  // Guards against incomplete packets that take more memory than any limit on results allows.
+  const std::size_t size = GENERATE(kMaxResultBytes, mysql::kMaxPayloadSize);
+  PoolFixture fixture;
+  const AttemptKey lookup = fixture.send(Query::Kind::kStatement, "SELECT 1");
+  ScriptedMysqlSession session(fixture.loop, fixture.listener);
+  (void)session.read_command();
+  send_result_start(session);
+  session.send_bytes(packet_header(size, kFirstRowSequence));
+  REQUIRE(fixture.wait_for_end(lookup));
+  CHECK(fixture.ended.at(lookup).outcome == Outcome::kServed);
+  const std::string& body = fixture.ended.at(lookup).body;
+  CHECK(mysql::parse_error(std::string_view(body).substr(mysql::kHeaderSize)).code == mysql::kPacketTooLarge);
+  CHECK(fixture.held_results() == 0);
+  CHECK(session.wait_for_end());
+}
+
+TEST_CASE("mysql session: incomplete results are counted as they arrive, and the budget is for all of them") {
+  // Guards against many answers that are said to be long, keep coming and never end.
+  constexpr std::size_t kRowSize = kMaxResultBytes - 1024;
+  constexpr std::size_t kPartSize = 64 * 1024;
+  constexpr std::size_t kSessions = 3;
+  PoolFixture fixture;
+  std::vector<AttemptKey> lookups;
+  std::deque<ScriptedMysqlSession> sessions;
+  for (std::size_t number = 0; number < kSessions; ++number) {
+    lookups.push_back(fixture.send(Query::Kind::kStatement, "SELECT 1"));
+    ScriptedMysqlSession& session = sessions.emplace_back(fixture.loop, fixture.listener);
+    (void)session.read_command();
+    send_result_start(session);
+    session.send_bytes(packet_header(kRowSize, kFirstRowSequence));
+  }
+  const std::string part(kPartSize, 'x');
+  for (std::size_t sent = 0; sent + kPartSize < kRowSize; sent += kPartSize) {
+    for (ScriptedMysqlSession& session : sessions) session.send_bytes(part);
+    REQUIRE_FALSE(sessions.front().has_command());
+    CHECK(fixture.held_results() <= kMaxTotalOfLargeResults);
+  }
+  // Three rows of almost a megabyte don't fit, so at least one was rejected, and the others go on.
+  CHECK_FALSE(fixture.ended.empty());
+  CHECK(fixture.ended.size() < kSessions);
+  for (const AttemptKey& lookup : lookups) {
+    if (!fixture.ended.contains(lookup)) CHECK_FALSE(fixture.pool.cancel(lookup));
+  }
+  CHECK(fixture.held_results() == 0);
+}
+
+TEST_CASE("mysql session: the rest of a cancelled read's result is read without being kept") {
+  // Guards against results that nobody waits for and that take the memory of others.
+  PoolFixture fixture;
+  const AttemptKey cancelled = fixture.send(Query::Kind::kStatement, "SELECT 1");
+  ScriptedMysqlSession session(fixture.loop, fixture.listener);
+  (void)session.read_command();
+  send_result_start(session);
+  const std::string half(kMaxResultBytes / 4, 'x');
+  session.send_bytes(packet_header(2 * half.size(), kFirstRowSequence) + half);
+  REQUIRE(run_until(fixture.loop, [&] { return fixture.held_results() > half.size(); }));
+  REQUIRE_FALSE(fixture.pool.cancel(cancelled));
+  CHECK(fixture.held_results() == 0);
+  // A connection for KILL QUERY is opened beside it.
+  ScriptedMysqlSession kill(fixture.loop, fixture.listener);
+  CHECK(kill.read_command() == command(mysql::kQuery, "KILL QUERY 7"));
+  session.send_bytes(half);
+  for (std::uint8_t row = 1; row < 20; ++row) {
+    session.send_bytes(packet_header(half.size(), static_cast<std::uint8_t>(kFirstRowSequence + row)) + half);
+  }
+  REQUIRE_FALSE(session.has_command());
+  CHECK(fixture.held_results() == 0);
+  // The response is complete: the connection closes, as a cancelled execution leaves an unknown session.
+  session.send_bytes(packet_header(5, kFirstRowSequence + 20) + std::string("\xfe\0\0\2\0", 5));
+  CHECK(session.wait_for_end());
+}
+
+TEST_CASE("mysql session: a response is the same however its bytes arrive") {
+  // Guards against packets that are read differently when a read ends in the middle of them.
+  std::uint8_t sequence = 1;
+  std::string response;
+  for (const std::string& payload :
+       {std::string("\1"), std::string("column definition"), std::string("\xfe\0\0\2\0", 5),
+        std::string(2000, 'x'), std::string("row"), std::string("\xfe\0\0\2\0", 5)}) {
+    response += mysql::split_into_packets(payload, sequence);
+  }
+  const std::size_t part_size = GENERATE_COPY(1UL, 3UL, 5UL, 700UL, response.size());
+  PoolFixture fixture;
+  const AttemptKey lookup = fixture.send(Query::Kind::kStatement, "SELECT 1");
+  ScriptedMysqlSession session(fixture.loop, fixture.listener);
+  (void)session.read_command();
+  for (std::size_t sent = 0; sent < response.size(); sent += part_size) {
+    CHECK_FALSE(fixture.ended.contains(lookup));
+    session.send_bytes(std::string_view(response).substr(sent, part_size));
+    REQUIRE_FALSE(session.has_command());
+  }
+  REQUIRE(fixture.wait_for_end(lookup));
+  CHECK(fixture.ended.at(lookup).body == response);
+}
--- a/tests/upstream/mysql_units_test.cpp
+++ b/tests/upstream/mysql_units_test.cpp
@@ -1,10 +1,12 @@
 // Tests of the parts of a MySQL connection: prepared statements, error codes, and buffered responses.
 #include <catch2/catch.hpp>
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "mysql/protocol.h"
+#include "policy/memory_ledger.h"
 #include "support/processor_time.h"
 #include "upstream/engine_statement_cache.h"
 #include "upstream/mysql_error_class.h"
@@ -14,7 +16,7 @@
 using routing::Outcome;
 
 TEST_CASE("statement cache: the least recently used statement is evicted first") {
-  EngineStatementCache statements;
+  EngineStatementCache statements(nullptr);
   CHECK_FALSE(statements.use("0"));
   for (std::uint32_t id = 0; id < 64; ++id) CHECK(statements.add(std::to_string(id), id).empty());
   CHECK(statements.use("0") == 0u);
@@ -28,7 +30,7 @@
 
 TEST_CASE("statement cache: a statement that is added again replaces the earlier one") {
   // Guards against a place in the order of use that outlives its statement (a crash at the next eviction).
-  EngineStatementCache statements;
+  EngineStatementCache statements(nullptr);
   CHECK(statements.add("again", 1).empty());
   CHECK(statements.add("again", 2) == std::vector<std::uint32_t>{1});
   CHECK(statements.use("again") == 2u);
@@ -46,7 +48,7 @@
   // Between the logarithm of the number of statements and the number, with room for the scatter of
   // measurements.
   constexpr double kMaxCostGrowth = 24;
-  EngineStatementCache one_statement, many_statements;
+  EngineStatementCache one_statement(nullptr), many_statements(nullptr);
   std::string text(kTextBytes, 'x');
   for (std::uint32_t id = 0; id < kStatementCount; ++id) {
     text.back() = static_cast<char>('0' + id);
@@ -110,16 +112,44 @@
   CHECK(outcome(mysql::kUnknownStatement, kAfter, true) == Outcome::kNotSent);
 }
 
-TEST_CASE("response buffer: the total is updated when a buffer changes") {
-  std::size_t total = 0;
-  ResponseBuffer first(total);
-  ResponseBuffer second(total);
-  first.append("abc");
-  second.append("de");
-  CHECK(total == 5);
+TEST_CASE("response buffer: the ledger knows what the buffers hold, and both limits refuse more") {
+  const auto memory = std::make_shared<policy::MemoryLedger>();
+  const auto held = [&] { return memory->held(policy::MemoryUse::kEngineResults); };
+  memory->set_limit(policy::MemoryUse::kEngineResults, 6);
+  ResponseBuffer first(memory, 4);
+  ResponseBuffer second(memory, 4);
+  CHECK(first.try_append("abc"));
+  CHECK_FALSE(first.try_append("de"));  // One response has at most 4 bytes.
+  CHECK(second.try_append("de"));
+  CHECK_FALSE(second.try_append("fg"));  // All together have at most 6.
+  CHECK(held() == 5);
   CHECK(first.take() == "abc");
-  CHECK(total == 2);
+  CHECK(held() == 2);
+  CHECK(second.try_append("fg"));
   second.clear();
-  CHECK(total == 0);
+  CHECK(held() == 0);
   CHECK(second.size() == 0);
+  {
+    ResponseBuffer lost(memory, 4);
+    CHECK(lost.try_append("abcd"));
+  }
+  CHECK(held() == 0);
+}
+
+TEST_CASE("statement cache: a text that memory is too short for is in single use") {
+  // Guards against sessions with engines that together keep more texts than the process may hold.
+  const auto memory = std::make_shared<policy::MemoryLedger>();
+  memory->set_limit(policy::MemoryUse::kEngineStatements, 8);
+  EngineStatementCache statements(memory), others(memory);
+  CHECK(statements.add("four", 1).empty());
+  CHECK(statements.add("more", 2).empty());
+  CHECK(statements.add("next", 3) == std::vector<std::uint32_t>{1});
+  CHECK(others.add("text", 7).empty());  // In single use.
+  CHECK(others.use("text") == 7u);
+  CHECK(others.end_use() == std::vector<std::uint32_t>{7});
+  CHECK_FALSE(others.use("text"));
+  CHECK(others.end_use().empty());
+  CHECK(memory->held(policy::MemoryUse::kEngineStatements) == 8);
+  CHECK(statements.add("too long a text", 4) == std::vector<std::uint32_t>{2, 3});
+  CHECK(memory->held(policy::MemoryUse::kEngineStatements) == 0);
 }
