Fix: long data and texts of prepared statements took the dispatcher over its memory

Four clients that send 60 MB of long data each, and execute nothing, took the dispatcher over 192 MB within a second. Cause: what a client leaves behind between two commands was limited for each statement and each connection, not for all. A PREPARE that does not fit, and an execution whose long data was refused, is rejected with 3168; nothing ran.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -82,7 +82,8 @@
   dispatcher_.process_events();
   configure_discovery();
   log_peers(log, config);
-  frontends_ = std::make_unique<Frontends>(loop, log, dispatcher_, config, authenticator_.get(), tls_context_);
+  frontends_ = std::make_unique<Frontends>(loop, log, dispatcher_, config, authenticator_.get(), tls_context_,
+                                           memory_);
   open_process_lock_file();
   open_admin_server();
   if (config.cluster) cluster_ = std::make_unique<Cluster>(loop, log, cluster_settings(config), config.seed);
--- a/src/app/frontends.cpp
+++ b/src/app/frontends.cpp
@@ -29,7 +29,8 @@
 }  // namespace
 
 Frontends::Frontends(EventLoop& loop, Logger& log, Dispatcher& dispatcher, const Config& config,
-                     auth::Authenticator* authenticator, const TlsContext& tls)
+                     auth::Authenticator* authenticator, const TlsContext& tls,
+                     const std::shared_ptr<policy::MemoryLedger>& memory)
     : turns_(loop) {
   if (config.listen) {
     platform_ = std::make_unique<FramesFrontend>(
@@ -44,7 +45,7 @@
     mysql_ = std::make_unique<MysqlFrontend>(
         loop, log, dispatcher, turns_,
         open_client_listener(config.mysql->listen, config.mysql->passed_socket, "mysql."), *config.mysql,
-        config.seed, authenticator, mysql_tls(config, tls), tls_required);
+        config.seed, authenticator, mysql_tls(config, tls), tls_required, memory);
     log.write(LogLevel::kNotice, "start", "serving mysql", {{"port", std::to_string(mysql_->port())}});
   }
 }
--- a/src/app/frontends.h
+++ b/src/app/frontends.h
@@ -18,10 +18,11 @@
 // no clients before start_accepting(). Used on the event loop's thread.
 class Frontends {
  public:
-  // Opens the listeners. `authenticator` and `tls` may be null; `authenticator` must outlive the frontends.
-  // Throws ConfigError.
+  // Opens the listeners. `memory` accounts for what clients make this process hold. `authenticator` and `tls`
+  // may be null; `authenticator` must outlive the frontends. Throws ConfigError.
   Frontends(EventLoop& loop, Logger& log, Dispatcher& dispatcher, const Config& config,
-            auth::Authenticator* authenticator, const std::shared_ptr<const tls::ServerContext>& tls);
+            auth::Authenticator* authenticator, const std::shared_ptr<const tls::ServerContext>& tls,
+            const std::shared_ptr<policy::MemoryLedger>& memory);
 
   [[nodiscard]] bool has_mysql() const { return mysql_ != nullptr; }
 
--- a/src/frontend/mysql_connection.cpp
+++ b/src/frontend/mysql_connection.cpp
@@ -198,6 +198,7 @@
     error(mysql::kUnknownError,
           "Failed, " + may_have_run_text() + (response.detail.empty() ? "" : ": " + response.detail));
   }
+  pending_statement_ = PreparedStatement{};
   if (frontend_.closing_after_response_ && state_ == State::kReady) {
     // The client reconnects to a process that stays. Commands that it has already sent are not run.
     return close_gracefully();
--- a/src/frontend/mysql_connection.h
+++ b/src/frontend/mysql_connection.h
@@ -126,6 +126,7 @@
   PreparedStatement* find_statement(mysql::PayloadReader& reader);
   void execute(mysql::PayloadReader& reader);
   void reset_statement(mysql::PayloadReader& reader);
+  void refuse_for_memory();
   void submit(Query::Kind kind, std::string statement, const sql::StatementFacts& facts,
               std::shared_ptr<Query> query = std::make_shared<Query>());
 
--- a/src/frontend/mysql_connection_commands.cpp
+++ b/src/frontend/mysql_connection_commands.cpp
@@ -157,13 +157,21 @@
   }
   if (rejected_locally(statement)) return;
   pending_statement_ = PreparedStatement{};
-  pending_statement_.text = statement;
+  pending_statement_.memory = {frontend_.memory_, policy::MemoryUse::kPreparedStatements};
+  if (!pending_statement_.try_set_text(statement)) return refuse_for_memory();
   pending_statement_.facts = sql::read_statement_facts(statement);
   pending_statement_.analysis = analyze(statement);
+  if (!pending_statement_.try_hold_analysis()) return refuse_for_memory();
   if (pending_statement_.analysis && !authorize_statement(*pending_statement_.analysis)) return;
   submit(Query::Kind::kPrepare, std::move(statement), pending_statement_.facts);
 }
 
+// Nothing ran, and memory may be free again later.
+void MysqlFrontend::Connection::refuse_for_memory() {
+  pending_statement_ = PreparedStatement{};
+  error(mysql::kServerNotAvailable, retry_message(frontend_.dispatcher_.overload_retry_after()));
+}
+
 // Reads a statement id and finds the statement. If there is none, sends an error to the client and returns
 // null.
 PreparedStatement* MysqlFrontend::Connection::find_statement(PayloadReader& reader) {
@@ -192,6 +200,8 @@
       return submit(Query::Kind::kExecute, statement->text, statement->facts, std::move(execution.query));
     case ExecutionError::kLongDataTooLarge:
       return error(mysql::kPacketTooLarge, "Got a packet bigger than 'max_allowed_packet' bytes");
+    case ExecutionError::kLongDataRefused:
+      return refuse_for_memory();
     case ExecutionError::kCursorRequested:
       return not_supported("cursors");
     case ExecutionError::kTypesNotBound:
--- a/src/frontend/mysql_frontend.cpp
+++ b/src/frontend/mysql_frontend.cpp
@@ -22,7 +22,8 @@
 MysqlFrontend::MysqlFrontend(EventLoop& loop, Logger& log, Dispatcher& dispatcher, TurnScheduler& turns,
                              FileDescriptor listener, MysqlFrontendConfig config, std::uint64_t seed,
                              auth::Authenticator* authenticator,
-                             std::shared_ptr<const tls::ServerContext> tls, bool tls_required)
+                             std::shared_ptr<const tls::ServerContext> tls, bool tls_required,
+                             std::shared_ptr<policy::MemoryLedger> memory)
     : loop_(loop),
       log_(log),
       dispatcher_(dispatcher),
@@ -31,6 +32,7 @@
       authenticator_(authenticator),
       tls_(std::move(tls)),
       tls_required_(tls_required),
+      memory_(std::move(memory)),
       call_id_state_(seed ^ static_cast<std::uint64_t>(loop.now().time_since_epoch().count())),
       connections_(loop),
       port_(local_port(listener)),
--- a/src/frontend/mysql_frontend.h
+++ b/src/frontend/mysql_frontend.h
@@ -16,6 +16,7 @@
 #include "net/file_descriptor.h"
 #include "net/slot_map.h"
 #include "net/stream.h"
+#include "policy/memory_ledger.h"
 
 namespace rookproxy {
 
@@ -25,11 +26,13 @@
  public:
   // Accepts no connections until set_accepting(true) is called. Without an authenticator callers are
   // identified by password only. `tls` is offered to clients; with `tls_required`, clients that don't use it
-  // are rejected. `seed` initializes the generator of request ids.
+  // are rejected. `seed` initializes the generator of request ids. `memory` limits what prepared statements
+  // hold; if it is null, they have no limit.
   MysqlFrontend(EventLoop& loop, Logger& log, Dispatcher& dispatcher, TurnScheduler& turns,
                 FileDescriptor listener, MysqlFrontendConfig config, std::uint64_t seed,
                 auth::Authenticator* authenticator = nullptr,
-                std::shared_ptr<const tls::ServerContext> tls = nullptr, bool tls_required = false);
+                std::shared_ptr<const tls::ServerContext> tls = nullptr, bool tls_required = false,
+                std::shared_ptr<policy::MemoryLedger> memory = nullptr);
   ~MysqlFrontend();
   MysqlFrontend(const MysqlFrontend&) = delete;
   MysqlFrontend& operator=(const MysqlFrontend&) = delete;
@@ -81,6 +84,7 @@
   auth::Authenticator* authenticator_;
   std::shared_ptr<const tls::ServerContext> tls_;
   bool tls_required_;
+  std::shared_ptr<policy::MemoryLedger> memory_;
   std::uint64_t call_id_state_;
   std::uint32_t next_thread_id_ = 1;
   std::size_t max_partial_command_bytes_ = kDefaultByteLimit;
--- a/src/frontend/prepared_statements.cpp
+++ b/src/frontend/prepared_statements.cpp
@@ -8,14 +8,51 @@
 
 // The maximum size of the long data for one execution.
 constexpr std::size_t kMaxLongDataBytes = 4u << 20;
+// What a statement and a parameter take beside their bytes.
+constexpr std::size_t kStatementOverheadBytes = 512;
+constexpr std::size_t kParameterOverheadBytes = 128;
 // CURSOR_TYPE_READ_ONLY, CURSOR_TYPE_FOR_UPDATE and CURSOR_TYPE_SCROLLABLE.
 constexpr std::uint64_t kCursorFlags = 7;
 
 }  // namespace
 
-void PreparedStatement::clear_long_data() {
+bool PreparedStatement::try_set_text(const std::string& new_text) {
+  if (!memory.try_add(new_text.size() + kStatementOverheadBytes)) return false;
+  text = new_text;
+  return true;
+}
+
+bool PreparedStatement::try_hold_analysis() {
+  if (!analysis) return true;
+  std::size_t bytes = 0;
+  for (const std::string& schema : analysis->schemas) bytes += sizeof(std::string) + schema.size();
+  return memory.try_add(bytes);
+}
+
+// Bytes above the limit are counted but not stored, so that the execution can report the error.
+void PreparedStatement::append_long_data(std::uint16_t parameter, std::string_view data) {
+  long_data_bytes += data.size();
+  if (long_data_bytes > kMaxLongDataBytes) return drop_long_data();
+  if (is_long_data_refused) return;
+  const std::size_t overhead = long_data.contains(parameter) ? 0 : kParameterOverheadBytes;
+  if (!memory.try_add(data.size() + overhead)) {
+    is_long_data_refused = true;
+    return drop_long_data();
+  }
+  held_long_data_bytes += data.size() + overhead;
+  long_data[parameter] += data;
+}
+
+// The statement can't be executed with a part of its long data.
+void PreparedStatement::drop_long_data() {
   long_data.clear();
+  memory.remove(std::exchange(held_long_data_bytes, 0));
+}
+
+void PreparedStatement::clear_long_data() {
+  drop_long_data();
   long_data_bytes = 0;
+  is_long_data_refused = false;
 }
 
 PreparedStatement* PreparedStatements::find(std::uint32_t id) {
@@ -34,10 +71,7 @@
   const auto parameter = static_cast<std::uint16_t>(reader.integer(2));
   // The command has no response; the execution reports the unknown statement.
   if (!statement) return;
-  const std::string_view data = reader.take_remaining();
-  // Bytes above the limit are counted but not stored, so that the execution can report the error.
-  statement->long_data_bytes += data.size();
-  if (statement->long_data_bytes <= kMaxLongDataBytes) statement->long_data[parameter] += data;
+  statement->append_long_data(parameter, reader.take_remaining());
 }
 
 // Passes the parameters on unchanged, but inserts the types that an earlier execution bound, because this
@@ -45,6 +79,10 @@
 PreparedExecution PreparedStatements::make_execution(PreparedStatement& statement,
                                                      mysql::PayloadReader& reader) {
   if (statement.long_data_bytes > kMaxLongDataBytes) return {ExecutionError::kLongDataTooLarge, nullptr};
+  if (statement.is_long_data_refused) {
+    statement.clear_long_data();
+    return {ExecutionError::kLongDataRefused, nullptr};
+  }
   const std::uint64_t flags = reader.integer(1);
   const std::uint64_t iterations = reader.integer(4);
   if ((flags & kCursorFlags) != 0) return {ExecutionError::kCursorRequested, nullptr};
--- a/src/frontend/prepared_statements.h
+++ b/src/frontend/prepared_statements.h
@@ -6,12 +6,14 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "dispatcher/engine_endpoint.h"
 #include "dispatcher/engine_transport.h"
 #include "dispatcher/request.h"
 #include "dispatcher/routing_time.h"
 #include "mysql/protocol.h"
+#include "policy/memory_ledger.h"
 #include "policy/statement_analysis.h"
 #include "sql/statement_facts.h"
 
@@ -31,12 +33,24 @@
   std::map<std::uint16_t, std::string> long_data;
   // The number of received bytes, including those that exceeded the limit and were not stored.
   std::size_t long_data_bytes = 0;
+  // True if long data was not stored because memory is short. The other long data is dropped as well.
+  bool is_long_data_refused = false;
+  // What the statement and its long data hold.
+  policy::MemoryHolding memory;
+  // The part of `memory` that is for long data.
+  std::size_t held_long_data_bytes = 0;
 
+  // Stores the text, or returns false if its memory must not be taken.
+  [[nodiscard]] bool try_set_text(const std::string& new_text);
+  // Asks for the memory of the analysis, which depends on the number of schemas.
+  [[nodiscard]] bool try_hold_analysis();
+  void append_long_data(std::uint16_t parameter, std::string_view data);
+  void drop_long_data();
   void clear_long_data();
 };
 
 // The reason why a statement can't be executed; kNone if it can.
-enum class ExecutionError { kNone, kLongDataTooLarge, kCursorRequested, kTypesNotBound };
+enum class ExecutionError { kNone, kLongDataTooLarge, kLongDataRefused, kCursorRequested, kTypesNotBound };
 
 // An execution of a prepared statement. `query` is null if there is an error.
 struct PreparedExecution {
--- a/tests/support/frontend_fixture.h
+++ b/tests/support/frontend_fixture.h
@@ -22,6 +22,7 @@
 #include "frontend/turn_scheduler.h"
 #include "net/event_loop.h"
 #include "net/sockets.h"
+#include "policy/memory_ledger.h"
 #include "support/dispatcher_config.h"
 #include "support/event_loop_thread.h"
 #include "support/request_frame.h"
@@ -55,7 +56,7 @@
       config.load_class = "load";
       config.read_timeout = config.load_timeout = kWaitLimit;
       mysql = std::make_unique<MysqlFrontend>(loop_thread.loop, log, dispatcher, turns, listen_on_free_port(),
-                                              config, 1);
+                                              config, 1, nullptr, nullptr, false, memory);
       mysql->set_accepting(true);
     });
   }
@@ -128,6 +129,7 @@
   Metrics metrics;
   Dispatcher dispatcher;
   TurnScheduler turns{loop_thread.loop};
+  std::shared_ptr<policy::MemoryLedger> memory = std::make_shared<policy::MemoryLedger>();
   // Null if callers are not identified.
   std::unique_ptr<auth::Authenticator> authenticator;
   std::unique_ptr<FramesFrontend> frames;
