Fix: a statement could run in the schema in which another client had prepared it

Clients with different default schemas that prepare one text were served from each other's schemas, and their inserts went there. Cause: a session's prepared statements were found by their text alone, but a server resolves names by the schema at the PREPARE. Change: schema and text are the key. A client's own statement keeps the schema of its PREPARE, by which it runs, is authorized and is routed. The tests of the cache name the schema in each call, with the same checks.

--- a/src/frontend/mysql_connection.h
+++ b/src/frontend/mysql_connection.h
@@ -114,7 +114,8 @@
 
   // Commands.
   [[nodiscard]] bool authorize_schema(const std::string& schema);
-  [[nodiscard]] bool authorize_statement(const policy::StatementAnalysis& analysis);
+  [[nodiscard]] bool authorize_statement(const policy::StatementAnalysis& analysis,
+                                         const std::string& schema);
   [[nodiscard]] std::shared_ptr<const policy::StatementAnalysis> analyze(const std::string& statement) const;
   void handle_command(std::string_view payload);
   [[nodiscard]] bool rejected_locally(const std::string& statement);
@@ -127,8 +128,8 @@
   void execute(mysql::PayloadReader& reader);
   void reset_statement(mysql::PayloadReader& reader);
   void refuse_for_memory();
-  void submit(Query::Kind kind, std::string statement, const sql::StatementFacts& facts,
-              std::shared_ptr<Query> query = std::make_shared<Query>());
+  void submit(Query::Kind kind, std::string statement, const std::string& schema,
+              const sql::StatementFacts& facts, std::shared_ptr<Query> query = std::make_shared<Query>());
 
   MysqlFrontend& frontend_;
   SlotKey key_;
--- a/src/frontend/mysql_connection_commands.cpp
+++ b/src/frontend/mysql_connection_commands.cpp
@@ -43,13 +43,14 @@
 }
 
 // A prepare command requires the same rights as the execution.
-bool MysqlFrontend::Connection::authorize_statement(const policy::StatementAnalysis& analysis) {
+bool MysqlFrontend::Connection::authorize_statement(const policy::StatementAnalysis& analysis,
+                                                    const std::string& schema) {
   if (!revalidate_caller()) return false;
   const policy::Identity& identity = caller_->identity;
   const bool writes = analysis.effect == policy::StatementEffect::kWrites;
   const std::string& class_name = writes ? frontend_.config_.load_class : frontend_.config_.read_class;
   const policy::Denial denial =
-      frontend_.authenticator_->authorize(identity, {class_name, writes, &analysis, schema_}, {"mysql", ""});
+      frontend_.authenticator_->authorize(identity, {class_name, writes, &analysis, schema}, {"mysql", ""});
   if (denial == policy::Denial::kNone) return true;
   frontend_.dispatcher_.record_rejection(frontend_.dispatcher_.find_class(class_name).value(),
                                          ResponseStatus::kRejected, identity.tenant);
@@ -138,15 +139,15 @@
   const sql::StatementFacts facts = sql::read_statement_facts(statement);
   if (needs_transaction(facts)) return;
   const auto analysis = analyze(statement);
-  if (analysis && !authorize_statement(*analysis)) return;
-  submit(Query::Kind::kStatement, std::move(statement), facts);
+  if (analysis && !authorize_statement(*analysis, schema_)) return;
+  submit(Query::Kind::kStatement, std::move(statement), schema_, facts);
 }
 
 void MysqlFrontend::Connection::use_schema(std::string schema) {
   if (schema.empty()) return error(kNoDatabaseSelected, "No database selected");
   pending_schema_ = schema;
   if (!authorize_schema(schema)) return;
-  submit(Query::Kind::kUseSchema, std::move(schema), {});
+  submit(Query::Kind::kUseSchema, std::move(schema), schema_, {});
 }
 
 void MysqlFrontend::Connection::prepare(std::string statement) {
@@ -162,8 +163,9 @@
   pending_statement_.facts = sql::read_statement_facts(statement);
   pending_statement_.analysis = analyze(statement);
   if (!pending_statement_.try_hold_analysis()) return refuse_for_memory();
-  if (pending_statement_.analysis && !authorize_statement(*pending_statement_.analysis)) return;
-  submit(Query::Kind::kPrepare, std::move(statement), pending_statement_.facts);
+  if (pending_statement_.analysis && !authorize_statement(*pending_statement_.analysis, schema_)) return;
+  pending_statement_.schema = schema_;
+  submit(Query::Kind::kPrepare, std::move(statement), schema_, pending_statement_.facts);
 }
 
 // Nothing ran, and memory may be free again later.
@@ -196,8 +198,9 @@
   PreparedExecution execution = PreparedStatements::make_execution(*statement, reader);
   switch (execution.error) {
     case ExecutionError::kNone:
-      if (statement->analysis && !authorize_statement(*statement->analysis)) return;
-      return submit(Query::Kind::kExecute, statement->text, statement->facts, std::move(execution.query));
+      if (statement->analysis && !authorize_statement(*statement->analysis, statement->schema)) return;
+      return submit(Query::Kind::kExecute, statement->text, statement->schema, statement->facts,
+                    std::move(execution.query));
     case ExecutionError::kLongDataTooLarge:
       return error(mysql::kPacketTooLarge, "Got a packet bigger than 'max_allowed_packet' bytes");
     case ExecutionError::kLongDataRefused:
@@ -209,7 +212,7 @@
   }
 }
 
-void MysqlFrontend::Connection::submit(Query::Kind kind, std::string statement,
+void MysqlFrontend::Connection::submit(Query::Kind kind, std::string statement, const std::string& schema,
                                        const sql::StatementFacts& facts, std::shared_ptr<Query> query) {
   const bool runs = kind == Query::Kind::kStatement || kind == Query::Kind::kExecute;
   const bool writes = runs && !facts.is_read_only;
@@ -218,14 +221,14 @@
   IncomingRequest incoming;
   // The class is looked up by name each time, because a reload may have changed its index.
   incoming.class_index = frontend_.dispatcher_.find_class(class_name).value();
-  incoming.table_group = facts.table_groups.group_in(schema_);
+  incoming.table_group = facts.table_groups.group_in(schema);
   const Time arrived_at = command_arrived_at_.value_or(frontend_.loop_.now());
   incoming.deadline = arrived_at + (writes ? config.load_timeout : config.read_timeout);
   query->id = frontend_.new_call_id();
   query->class_name = class_name;
   query->statement = std::move(statement);
   query->kind = kind;
-  query->schema = schema_;
+  query->schema = schema;
   query->writes = writes;
   const routing::ClassSettings& settings = frontend_.dispatcher_.class_settings(incoming.class_index);
   query->is_idempotent = !writes && settings.idempotency == routing::Idempotency::kIdempotent;
--- a/src/frontend/prepared_statements.cpp
+++ b/src/frontend/prepared_statements.cpp
@@ -25,7 +25,7 @@
 bool PreparedStatement::try_hold_analysis() {
   if (!analysis) return true;
   std::size_t bytes = 0;
-  for (const std::string& schema : analysis->schemas) bytes += sizeof(std::string) + schema.size();
+  for (const std::string& named : analysis->schemas) bytes += sizeof(std::string) + named.size();
   return memory.try_add(bytes);
 }
 
--- a/src/frontend/prepared_statements.h
+++ b/src/frontend/prepared_statements.h
@@ -22,6 +22,8 @@
 // A prepared statement and the long data for its next execution.
 struct PreparedStatement {
   std::string text;
+  // The client's schema at the PREPARE, in which it is executed whatever the client has selected since.
+  std::string schema;
   // Read from the text once, so that the time for an execution does not depend on the text's size.
   sql::StatementFacts facts;
   // Null if callers are not authorized.
--- a/src/upstream/mysql_connection.cpp
+++ b/src/upstream/mysql_connection.cpp
@@ -68,6 +68,10 @@
   session_.dedicate_to_kill();
 }
 
+StatementKey MysqlConnection::statement_key(const Query& query) const {
+  return {required_schema(query), query.statement};
+}
+
 policy::SessionAttempt MysqlConnection::session_attempt(const Query& query) const {
   using Kind = policy::SessionAttempt::Kind;
   switch (query.kind) {
@@ -135,7 +139,7 @@
   if (login_state_ != LoginState::kComplete || session_.is_awaiting_response()) return;
   std::optional<std::uint32_t> prepared_id;
   if (attempt_ && attempt_->query->kind == Query::Kind::kExecute) {
-    prepared_id = prepared_statements_.use(attempt_->query->statement);
+    prepared_id = prepared_statements_.use(statement_key(*attempt_->query));
   }
   const std::optional<SessionCommand> command = session_.next_command(prepared_id.has_value());
   if (!command) return;
@@ -152,7 +156,7 @@
     return send_command(command, mysql::kInitDb, required_schema(query));
   }
   if (command == SessionCommand::kExecute) return send_execution(prepared_id);
-  close_statements(prepared_statements_.evict(query.statement));
+  close_statements(prepared_statements_.evict(statement_key(query)));
   send_command(command, mysql::kStmtPrepare, query.statement);
 }
 
@@ -423,7 +427,7 @@
   reader.integer(1);
   const auto statement_id = static_cast<std::uint32_t>(reader.integer(4));
   if (!belongs_to_attempt) return close_statements({statement_id});
-  close_statements(prepared_statements_.add(attempt_->query->statement, statement_id));
+  close_statements(prepared_statements_.add(statement_key(*attempt_->query), statement_id));
   if (attempt_->query->kind == Query::Kind::kPrepare) {
     complete_from_response(policy::AttemptProgress::kNotRequested);
   }
@@ -446,7 +450,7 @@
   const MysqlErrorClass error = classify_mysql_error(code);
   const bool executes_prepared = query.kind == Query::Kind::kExecute;
   if (executes_prepared && error == MysqlErrorClass::kUnknownStatement) {
-    prepared_statements_.remove(query.statement);
+    prepared_statements_.remove(statement_key(query));
   }
   const Outcome outcome = outcome_of_mysql_error(error, {progress, executes_prepared, query.is_idempotent});
   // Rows as text lines can't carry an error, so the attempt fails. Otherwise the client receives the error
--- a/src/upstream/mysql_connection.h
+++ b/src/upstream/mysql_connection.h
@@ -74,6 +74,7 @@
   void end_session_attempt();
 
   [[nodiscard]] const std::string& required_schema(const Query& query) const;
+  [[nodiscard]] StatementKey statement_key(const Query& query) const;
   [[nodiscard]] policy::SessionAttempt session_attempt(const Query& query) const;
 
   MysqlPool& mysql_pool_;
--- a/tests/integration/mysql_engine_session_test.cpp
+++ b/tests/integration/mysql_engine_session_test.cpp
@@ -142,6 +142,37 @@
   CHECK(fixture.wait_for_end(lookup));
 }
 
+TEST_CASE("mysql session: a statement is prepared again for an execution in another schema") {
+  // Guards against rows of another tenant: an engine resolves a statement's names when it is prepared.
+  PoolFixture fixture;
+  const auto execute = [&](const std::string& schema) {
+    return fixture.send(Query::Kind::kExecute, "SELECT mark FROM marks", schema);
+  };
+  const auto answer = [](ScriptedMysqlSession& session, std::uint8_t expected, std::uint32_t statement_id) {
+    const std::string received = session.read_command();
+    CHECK(static_cast<std::uint8_t>(received.front()) == expected);
+    if (expected == mysql::kStmtPrepare) return session.send_prepared(statement_id);
+    if (expected == mysql::kStmtExecute) {
+      CHECK(mysql::PayloadReader(std::string_view(received).substr(1)).integer(4) == statement_id);
+    }
+    session.send_ok();
+  };
+  AttemptKey attempt = execute("school_1");
+  ScriptedMysqlSession session(fixture.loop, fixture.listener);
+  for (const std::uint8_t expected : {mysql::kInitDb, mysql::kStmtPrepare, mysql::kStmtExecute}) {
+    answer(session, expected, 1);
+  }
+  REQUIRE(fixture.wait_for_end(attempt));
+  attempt = execute("school_2");
+  for (const std::uint8_t expected : {mysql::kInitDb, mysql::kStmtPrepare, mysql::kStmtExecute}) {
+    answer(session, expected, 2);
+  }
+  REQUIRE(fixture.wait_for_end(attempt));
+  attempt = execute("school_1");
+  for (const std::uint8_t expected : {mysql::kInitDb, mysql::kStmtExecute}) answer(session, expected, 1);
+  REQUIRE(fixture.wait_for_end(attempt));
+}
+
 namespace {
 
 // The header of a packet, and the packets of a text result with one column before its rows.
--- a/tests/integration/prepared_statement_memory_test.cpp
+++ b/tests/integration/prepared_statements_test.cpp
@@ -1,4 +1,4 @@
-// What clients of the MySQL frontend can make the dispatcher hold with prepared statements.
+// Prepared statements of the MySQL frontend: the schema that they keep, and the memory that they hold.
 #include <catch2/catch.hpp>
 #include <cstddef>
 #include <cstdint>
@@ -57,6 +57,12 @@
         static_cast<std::uint32_t>(mysql::PayloadReader(response.payload.substr(1)).integer(4)));
     return response;
   }
+  [[nodiscard]] std::size_t attempts() const { return attempts_; }
+  // Serves the next attempt with an OK.
+  void serve_ok() {
+    std::uint8_t sequence = 1;
+    frontend.serve(attempts_++, mysql::split_into_packets(mysql::ok_payload(), sequence));
+  }
   // Waits until everything that the client has sent is handled.
   static void synchronize(MysqlClient& client) {
     client.send_command(std::string(1, static_cast<char>(mysql::kPing)));
@@ -157,3 +163,22 @@
   CHECK(error_of(fixture.prepare(client, "SELECT ?")) == 0);
   CHECK(fixture.held() < held + 1024);
 }
+
+TEST_CASE("mysql: a prepared statement runs in the schema that was selected when it was prepared") {
+  // Guards against executions in a schema that the client selected later, as on no server.
+  MemoryFixture fixture;
+  MysqlClient client = fixture.log_in();
+  const auto use_schema = [&](const std::string& schema) {
+    client.send_command(static_cast<char>(mysql::kInitDb) + schema);
+    REQUIRE(fixture.frontend.wait_for_attempts(fixture.attempts() + 1));
+    fixture.serve_ok();
+    CHECK(error_of(client.read_first_message()) == 0);
+  };
+  use_schema("marks_1");
+  fixture.prepare(client, "SELECT mark FROM marks WHERE pupil = ?");
+  use_schema("marks_2");
+  client.send_execute(1, "7", MysqlClient::ParameterTypes::kSent);
+  REQUIRE(fixture.frontend.wait_for_attempts(fixture.attempts() + 1));
+  CHECK(fixture.frontend.loop_thread.run([&] { return fixture.frontend.attempts.back().query->schema; }) ==
+        "marks_1");
+}
--- a/tests/upstream/mysql_units_test.cpp
+++ b/tests/upstream/mysql_units_test.cpp
@@ -17,30 +17,43 @@
 
 TEST_CASE("statement cache: the least recently used statement is evicted first") {
   EngineStatementCache statements(nullptr);
-  CHECK_FALSE(statements.use("0"));
-  for (std::uint32_t id = 0; id < 64; ++id) CHECK(statements.add(std::to_string(id), id).empty());
-  CHECK(statements.use("0") == 0u);
-  CHECK(statements.add("64", 64) == std::vector<std::uint32_t>{1});
-  CHECK(statements.evict("none").empty());
-  CHECK(statements.evict("5") == std::vector<std::uint32_t>{5});
-  CHECK_FALSE(statements.use("5"));
-  statements.remove("6");
-  CHECK_FALSE(statements.use("6"));
+  CHECK_FALSE(statements.use({"", "0"}));
+  for (std::uint32_t id = 0; id < 64; ++id) CHECK(statements.add({"", std::to_string(id)}, id).empty());
+  CHECK(statements.use({"", "0"}) == 0u);
+  CHECK(statements.add({"", "64"}, 64) == std::vector<std::uint32_t>{1});
+  CHECK(statements.evict({"", "none"}).empty());
+  CHECK(statements.evict({"", "5"}) == std::vector<std::uint32_t>{5});
+  CHECK_FALSE(statements.use({"", "5"}));
+  statements.remove({"", "6"});
+  CHECK_FALSE(statements.use({"", "6"}));
 }
 
 TEST_CASE("statement cache: a statement that is added again replaces the earlier one") {
   // Guards against a place in the order of use that outlives its statement (a crash at the next eviction).
   EngineStatementCache statements(nullptr);
-  CHECK(statements.add("again", 1).empty());
-  CHECK(statements.add("again", 2) == std::vector<std::uint32_t>{1});
-  CHECK(statements.use("again") == 2u);
-  for (std::uint32_t id = 10; id < 73; ++id) CHECK(statements.add(std::to_string(id), id).empty());
-  CHECK(statements.add("last", 99) == std::vector<std::uint32_t>{2});
+  CHECK(statements.add({"", "again"}, 1).empty());
+  CHECK(statements.add({"", "again"}, 2) == std::vector<std::uint32_t>{1});
+  CHECK(statements.use({"", "again"}) == 2u);
+  for (std::uint32_t id = 10; id < 73; ++id) CHECK(statements.add({"", std::to_string(id)}, id).empty());
+  CHECK(statements.add({"", "last"}, 99) == std::vector<std::uint32_t>{2});
   for (std::uint32_t id = 10; id < 73; ++id) {
-    CHECK(statements.add("new " + std::to_string(id), id) == std::vector<std::uint32_t>{id});
+    CHECK(statements.add({"", "new " + std::to_string(id)}, id) == std::vector<std::uint32_t>{id});
   }
 }
 
+TEST_CASE("statement cache: a text that was prepared in another schema is another statement") {
+  // Guards against a tenant that is served the rows of the tenant in whose schema a statement was prepared.
+  EngineStatementCache statements(nullptr);
+  CHECK(statements.add({"school", "SELECT 1"}, 1).empty());
+  CHECK_FALSE(statements.use({"", "SELECT 1"}));
+  CHECK_FALSE(statements.use({"other", "SELECT 1"}));
+  CHECK(statements.add({"other", "SELECT 1"}, 2).empty());
+  CHECK(statements.use({"school", "SELECT 1"}) == 1u);
+  CHECK(statements.use({"other", "SELECT 1"}) == 2u);
+  CHECK(statements.evict({"school", "SELECT 1"}) == std::vector<std::uint32_t>{1});
+  CHECK(statements.use({"other", "SELECT 1"}) == 2u);
+}
+
 TEST_CASE("statement cache: a text is compared with few of the others") {
   // Guards against executions that take as long as comparing megabytes with every statement of a connection.
   constexpr std::size_t kTextBytes = 64 * 1024;
@@ -52,14 +65,14 @@
   std::string text(kTextBytes, 'x');
   for (std::uint32_t id = 0; id < kStatementCount; ++id) {
     text.back() = static_cast<char>('0' + id);
-    (void)many_statements.add(text, id);
-    if (id == 0) (void)one_statement.add(text, id);
+    (void)many_statements.add({"", text}, id);
+    if (id == 0) (void)one_statement.add({"", text}, id);
   }
   const auto cost_of_all = [](EngineStatementCache& statements, std::string searched) {
     return test::least_processor_time(3, [&] {
       for (int id = 0; id < kStatementCount; ++id) {
         searched.back() = static_cast<char>('0' + id);
-        (void)statements.use(searched);
+        (void)statements.use({"", searched});
       }
     });
   };
@@ -141,15 +154,15 @@
   const auto memory = std::make_shared<policy::MemoryLedger>();
   memory->set_limit(policy::MemoryUse::kEngineStatements, 8);
   EngineStatementCache statements(memory), others(memory);
-  CHECK(statements.add("four", 1).empty());
-  CHECK(statements.add("more", 2).empty());
-  CHECK(statements.add("next", 3) == std::vector<std::uint32_t>{1});
-  CHECK(others.add("text", 7).empty());  // In single use.
-  CHECK(others.use("text") == 7u);
+  CHECK(statements.add({"", "four"}, 1).empty());
+  CHECK(statements.add({"", "more"}, 2).empty());
+  CHECK(statements.add({"", "next"}, 3) == std::vector<std::uint32_t>{1});
+  CHECK(others.add({"", "text"}, 7).empty());  // In single use.
+  CHECK(others.use({"", "text"}) == 7u);
   CHECK(others.end_use() == std::vector<std::uint32_t>{7});
-  CHECK_FALSE(others.use("text"));
+  CHECK_FALSE(others.use({"", "text"}));
   CHECK(others.end_use().empty());
   CHECK(memory->held(policy::MemoryUse::kEngineStatements) == 8);
-  CHECK(statements.add("too long a text", 4) == std::vector<std::uint32_t>{2, 3});
+  CHECK(statements.add({"", "too long a text"}, 4) == std::vector<std::uint32_t>{2, 3});
   CHECK(memory->held(policy::MemoryUse::kEngineStatements) == 0);
 }
