Fix: clients saw what other clients' statements had left in a session

SELECT @@identity and its like answered with another client's id, and a procedure called behind a comment left its session, with whatever it had opened or set there, to the next client. Cause: which statements need or leave session state was decided by a few spellings. Change: variables in every scope, quoted names and SHOW COUNT(*) count as session state; a session is closed after any statement that is not of a kind known to leave nothing in it.

--- a/src/sql/statement_class.cpp
+++ b/src/sql/statement_class.cpp
@@ -1,6 +1,7 @@
 #include "sql/statement_class.h"
 
 #include <array>
+#include <cstddef>
 
 #include "sql/functions.h"
 #include "sql/token_cursor.h"
@@ -21,6 +22,19 @@
 constexpr std::array<std::string_view, 3> kEarlierResultFunctions{"LAST_INSERT_ID", "FOUND_ROWS",
                                                                   "ROW_COUNT"};
 
+// Variables of the session that an earlier statement of any client may have set.
+constexpr std::array<std::string_view, 5> kEarlierResultVariables{"IDENTITY", "LAST_INSERT_ID", "INSERT_ID",
+                                                                  "WARNING_COUNT", "ERROR_COUNT"};
+constexpr std::array<std::string_view, 2> kVariableScopes{"SESSION", "LOCAL"};
+// Statements that leave nothing in their session.
+constexpr std::array<std::string_view, 24> kSessionNeutralStatements{
+    "SELECT",   "WITH",   "SHOW",   "EXPLAIN", "DESCRIBE", "DESC",     "TABLE",  "VALUES",
+    "INSERT",   "UPDATE", "DELETE", "REPLACE", "LOAD",     "CREATE",   "ALTER",  "DROP",
+    "TRUNCATE", "RENAME", "GRANT",  "REVOKE",  "ANALYZE",  "OPTIMIZE", "REPAIR", "KILL"};
+
+// The first words of a statement are looked for in this many bytes, so that the time for that is bounded.
+constexpr std::size_t kMaxExaminedStart = 1024;
+
 constexpr std::string_view kEarlierResults = "results of an earlier statement";
 constexpr std::string_view kRowLocks = "row locks";
 
@@ -40,6 +54,11 @@
          !is_keyword_before_parenthesis(token);
 }
 
+// A quoted name as the word in its quotes.
+Token as_word(const Token& token) {
+  return is_identifier(token) ? Token{Token::Kind::kWord, token.text} : token;
+}
+
 std::optional<std::string_view> state_of_first_word(const TokenCursor& tokens) {
   const Token& first = tokens.peek();
   const Token& second = tokens.peek(1);
@@ -50,12 +69,25 @@
   if (is_any_word(first, kPrepareStatements)) return "prepared statements in SQL text";
   if (is_word(first, "SET") && !is_word(second, "GLOBAL")) return "session variables";
   if (is_word(first, "USE")) return "USE in SQL text";
-  if (is_word(first, "SHOW") && (is_word(second, "WARNINGS") || is_word(second, "ERRORS"))) {
-    return kEarlierResults;
-  }
+  const bool shows_messages =
+      is_word(second, "WARNINGS") || is_word(second, "ERRORS") || is_word(second, "COUNT");
+  if (is_word(first, "SHOW") && shows_messages) return kEarlierResults;
   return std::nullopt;
 }
 
+// Returns whether the cursor is at the system variable that `names` lists. Each part of its name may be
+// quoted.
+template <class Names>
+bool is_system_variable(const TokenCursor& tokens, const Names& names) {
+  const Token& token = tokens.peek();
+  if (token.kind != Token::Kind::kVariable || !token.text.starts_with("@@")) return false;
+  const std::size_t scope_end = token.text.find_last_of("@.");
+  Token name{Token::Kind::kWord, token.text.substr(scope_end + 1)};
+  if (name.text.empty()) name = as_word(tokens.peek(1));
+  if (is_any_word(name, kVariableScopes) && tokens.has_mark('.', 1)) name = as_word(tokens.peek(2));
+  return is_any_word(name, names);
+}
+
 // Returns the session state that the token at the cursor's position indicates.
 std::optional<std::string_view> state_at(const TokenCursor& tokens) {
   const Token& token = tokens.peek();
@@ -63,8 +95,11 @@
   if (is_word(token, "TEMPORARY")) return "temporary tables";
   if (starts_second_statement(tokens)) return "several statements in one";
   if (token.kind == Token::Kind::kVariable && !token.text.starts_with("@@")) return "user variables";
-  if (is_any_word(token, kNamedLockFunctions)) return "named locks";
-  if (is_any_word(token, kEarlierResultFunctions)) return kEarlierResults;
+  const bool is_called = tokens.has_mark('(', 1);
+  const Token function = is_called ? as_word(token) : token;
+  if (is_any_word(function, kNamedLockFunctions)) return "named locks";
+  if (is_any_word(function, kEarlierResultFunctions)) return kEarlierResults;
+  if (is_system_variable(tokens, kEarlierResultVariables)) return kEarlierResults;
   if (is_word(token, "FOR") && (is_word(next, "UPDATE") || is_word(next, "SHARE"))) return kRowLocks;
   if (is_word(token, "LOCK") && is_word(next, "IN")) return kRowLocks;
   return std::nullopt;
@@ -85,6 +120,16 @@
   return true;
 }
 
+bool may_change_session(std::string_view statement) {
+  const bool is_cut = statement.size() > kMaxExaminedStart;
+  TokenCursor tokens(statement.substr(0, kMaxExaminedStart));
+  while (tokens.has_mark('(')) tokens.skip();
+  if (tokens.at_end()) return is_cut;
+  if (!is_any_word(tokens.peek(), kSessionNeutralStatements)) return true;
+  const Token& second = tokens.peek(1);
+  return is_word(second, "TEMPORARY") || (is_cut && second.kind == Token::Kind::kEnd);
+}
+
 std::optional<std::string_view> find_session_state(std::string_view statement) {
   TokenCursor tokens(statement);
   if (const auto state = state_of_first_word(tokens)) return state;
--- a/src/sql/statement_class.h
+++ b/src/sql/statement_class.h
@@ -16,4 +16,9 @@
 // temporary table or a variable) and that would be missing on another engine, or nothing if it needs none.
 [[nodiscard]] std::optional<std::string_view> find_session_state(std::string_view statement);
 
+// Returns whether the statement may leave state in the session that runs it, such as a transaction, a setting
+// or a temporary table: it calls a procedure, or is of a kind that is not known to leave none. Examines only
+// the first words.
+[[nodiscard]] bool may_change_session(std::string_view statement);
+
 }  // namespace rookproxy::sql
--- a/src/upstream/mysql_connection.cpp
+++ b/src/upstream/mysql_connection.cpp
@@ -1,9 +1,9 @@
 #include "upstream/mysql_connection.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "net/slot_map.h"
+#include "sql/statement_class.h"
 #include "upstream/mysql_error_class.h"
 #include "upstream/mysql_pool.h"
 
@@ -30,14 +30,6 @@
 constexpr std::string_view kFullAuthRequest = "\x01\x04";
 constexpr std::string_view kPublicKeyRequest = "\x02";
 
-bool is_procedure_call(std::string_view statement) {
-  constexpr std::string_view kCall = "call";
-  const auto start = statement.find_first_not_of(" \t\r\n");
-  if (start == statement.npos || statement.size() < start + kCall.size()) return false;
-  return std::equal(kCall.begin(), kCall.end(), statement.begin() + static_cast<std::ptrdiff_t>(start),
-                    [](char expected, char actual) { return expected == (actual | 0x20); });
-}
-
 std::string little_endian(std::uint32_t value, std::size_t size) {
   std::string bytes;
   mysql::append_integer(bytes, value, size);
@@ -435,8 +427,8 @@
 
 void MysqlConnection::on_executed(bool belongs_to_attempt) {
   if (!belongs_to_attempt) return release_attempt();  // The connection is draining and closes.
-  // A procedure may leave state in the session.
-  if (is_procedure_call(attempt_->query->statement)) {
+  const Query& query = *attempt_->query;
+  if (query.kind != Query::Kind::kUseSchema && sql::may_change_session(query.statement)) {
     session_.retire();
     drain();
   }
--- a/tests/frontend/parsers_test.cpp
+++ b/tests/frontend/parsers_test.cpp
@@ -213,9 +213,48 @@
     INFO(state);
     CHECK(find_session_state(state));
   }
-  for (const char* stateless : {"SELECT '@a begin'", "SELECT @@version_comment LIMIT 1",
-                                "INSERT INTO t VALUES ('lock')", "SELECT a FROM t;"}) {
+  for (const char* stateless :
+       {"SELECT '@a begin'", "SELECT @@version_comment LIMIT 1", "INSERT INTO t VALUES ('lock')",
+        "SELECT a FROM t;", "SELECT identity, `row_count` FROM t", "SELECT @@session.autocommit"}) {
     INFO(stateless);
     CHECK_FALSE(find_session_state(stateless));
   }
 }
+
+TEST_CASE("sql: every spelling of what an earlier statement left in its session is detected") {
+  // Guards against the id or the warnings of another client's statement.
+  for (const std::string name : {"identity", "last_insert_id", "Insert_Id", "warning_count", "ERROR_COUNT"}) {
+    for (const std::string scope : {"@@", "@@session.", "@@LOCAL."}) {
+      for (const std::string& variable : {scope + name, scope + "`" + name + "`"}) {
+        INFO(variable);
+        CHECK(sql::find_session_state("SELECT mark, " + variable + " FROM t"));
+      }
+    }
+  }
+  for (const char* state : {"SELECT `LAST_INSERT_ID`()", "SELECT `found_rows` ()", "SHOW COUNT(*) WARNINGS",
+                            "show /* all */ count ( * ) errors", "SELECT `get_lock`('a', 1)",
+                            "SELECT @@session .identity", "SELECT @@local. `identity`"}) {
+    INFO(state);
+    CHECK(sql::find_session_state(state));
+  }
+}
+
+TEST_CASE("sql: a statement that may leave state in its session is recognized by its first words") {
+  // Guards against a session with the open transaction of a procedure that is given to another client.
+  using sql::may_change_session;
+  for (const char* changing : {"CALL p()", "/* x */ call p()", "-- x\n CALL p()", "/*!50000 CALL p() */",
+                               "(CALL p())", "SET a = 1", "BEGIN", "DO 1", "EXECUTE s",
+                               "CREATE /* x */ TEMPORARY TABLE t (a INT)", "`CALL` p()", "XA START 'a'"}) {
+    INFO(changing);
+    CHECK(may_change_session(changing));
+  }
+  for (const char* neutral : {"SELECT 1", "((SELECT 1))", "/* CALL */ insert INTO t VALUES (1)", "",
+                              "WITH a AS (SELECT 1) SELECT * FROM a", "CREATE TABLE t (a INT)"}) {
+    INFO(neutral);
+    CHECK_FALSE(may_change_session(neutral));
+  }
+  const std::string comment = "/*" + std::string(2000, 'x') + "*/";
+  CHECK(may_change_session(comment + "SELECT 1"));
+  CHECK(may_change_session("CREATE " + comment + " TEMPORARY TABLE t (a INT)"));
+  CHECK_FALSE(may_change_session("SELECT '" + std::string(2000, 'x') + "'"));
+}
--- a/tests/integration/mysql_engine_session_test.cpp
+++ b/tests/integration/mysql_engine_session_test.cpp
@@ -173,6 +173,21 @@
   REQUIRE(fixture.wait_for_end(attempt));
 }
 
+TEST_CASE("mysql session: a session that a statement may have changed serves no other attempt") {
+  // Guards against an open transaction or a setting that a procedure leaves to another client.
+  for (const char* statement :
+       {"/* x */ CALL p()", "SET autocommit = 0", "CREATE TEMPORARY TABLE t (a INT)"}) {
+    INFO(statement);
+    PoolFixture fixture;
+    const AttemptKey attempt = fixture.send(Query::Kind::kStatement, statement);
+    ScriptedMysqlSession session(fixture.loop, fixture.listener);
+    (void)session.read_command();
+    session.send_ok();
+    REQUIRE(fixture.wait_for_end(attempt));
+    CHECK(session.wait_for_end());
+  }
+}
+
 namespace {
 
 // The header of a packet, and the packets of a text result with one column before its rows.
