Fix: a spoilt result of a MySQL engine left a client without any answer

A client with autocommit off got nothing when an empty packet stood where a row should be, and the router counted the attempt for good. Cause: two readers of an engine's bytes had different rules; the second one's exception left the dispatcher in the middle of the end of an attempt. Change: the first reader rejects empty packets, and the frontend answers any result that it can't read with 1105.

--- a/src/frontend/mysql_connection.cpp
+++ b/src/frontend/mysql_connection.cpp
@@ -183,14 +183,34 @@
   return pending_writes_ ? "it may have run" : "it changed nothing";
 }
 
-void MysqlFrontend::Connection::handle_response(Response response) {
+ResponseStatus MysqlFrontend::Connection::handle_response(Response response) {
   request_.reset();
   state_ = State::kReady;
   stream_.set_read_paused(false);
   start_close_timer(frontend_.config_.idle_timeout);
+  const ResponseStatus status = write_response(std::move(response));
+  pending_statement_ = PreparedStatement{};
+  if (frontend_.closing_after_response_ && state_ == State::kReady) {
+    // The client reconnects to a process that stays. Commands that it has already sent are not run.
+    close_gracefully();
+    return status;
+  }
+  recheck_certificate();
+  return status;
+}
+
+ResponseStatus MysqlFrontend::Connection::write_response(Response response) {
   if (response.status == ResponseStatus::kServed) {
-    handle_result(std::move(response.body));
-  } else if (response.status == ResponseStatus::kRejected) {
+    try {
+      handle_result(std::move(response.body));
+      return ResponseStatus::kServed;
+    } catch (const mysql::MalformedPacketError& malformed) {
+      // Nothing has been written: a result is read as a whole before it is.
+      response = Response::failed(ResponseCause::kEngineError);
+      response.detail = malformed.what();
+    }
+  }
+  if (response.status == ResponseStatus::kRejected) {
     error(mysql::kServerNotAvailable, retry_message(response.retry_after));
   } else if (response.cause == ResponseCause::kDeadline) {
     error(mysql::kQueryTimeout, "No answer within the deadline; " + may_have_run_text());
@@ -198,12 +218,7 @@
     error(mysql::kUnknownError,
           "Failed, " + may_have_run_text() + (response.detail.empty() ? "" : ": " + response.detail));
   }
-  pending_statement_ = PreparedStatement{};
-  if (frontend_.closing_after_response_ && state_ == State::kReady) {
-    // The client reconnects to a process that stays. Commands that it has already sent are not run.
-    return close_gracefully();
-  }
-  recheck_certificate();
+  return response.status;
 }
 
 void MysqlFrontend::Connection::handle_result(std::string packets) {
--- a/src/frontend/mysql_connection.h
+++ b/src/frontend/mysql_connection.h
@@ -31,8 +31,9 @@
   // Unread commands of a disconnected client are discarded.
   void on_hangup() override { frontend_.client_disconnected(key_); }
 
-  // Writes the response to the command that was submitted to the dispatcher.
-  void handle_response(Response response);
+  // Writes the response to the command that was submitted to the dispatcher. Returns the status sent to the
+  // client, which is a failure if the result can't be read.
+  ResponseStatus handle_response(Response response);
 
   [[nodiscard]] bool is_flushed() const { return stream_.queued_bytes() == 0; }
   [[nodiscard]] std::size_t unread_response_bytes() const { return stream_.queued_bytes(); }
@@ -90,6 +91,7 @@
   [[nodiscard]] static std::string retry_message(std::optional<Duration> retry_after);
   [[nodiscard]] std::string may_have_run_text() const;
   void handle_result(std::string packets);
+  [[nodiscard]] ResponseStatus write_response(Response response);
   void store_prepared_statement(std::string& packets);
 
   // Login.
--- a/src/frontend/mysql_frontend.cpp
+++ b/src/frontend/mysql_frontend.cpp
@@ -95,10 +95,8 @@
 }
 
 ResponseStatus MysqlFrontend::on_response(std::uint64_t correlation_id, Response response) {
-  const ResponseStatus status = response.status;
-  if (Connection* connection = connections_.find(correlation_id))
-    connection->handle_response(std::move(response));
-  return status;
+  Connection* connection = connections_.find(correlation_id);
+  return connection ? connection->handle_response(std::move(response)) : response.status;
 }
 
 void MysqlFrontend::reload(MysqlFrontendConfig config) {
--- a/src/mysql/response.cpp
+++ b/src/mysql/response.cpp
@@ -21,6 +21,7 @@
 // Returns the offset of the status in a payload, or 0 if it has no status. `reader` is at the payload's
 // start.
 std::size_t status_offset(PayloadReader reader, std::size_t size, bool is_first_packet) {
+  if (size == 0) return 0;
   // A response without rows starts with an OK packet. Among rows, only an EOF packet has this header and
   // size.
   const auto header = static_cast<char>(reader.integer(1));
@@ -86,6 +87,7 @@
   // Only the first packet of a payload that is split into several is examined.
   const bool belongs_to_previous = std::exchange(is_continued_, payload_size == kMaxPayloadSize);
   if (belongs_to_previous) return false;
+  if (payload.empty()) throw MalformedPacketError("an empty packet in an answer");
   switch (state_) {
     case State::kFirst:
       is_complete_ = on_first_packet(payload);
@@ -114,7 +116,6 @@
 }
 
 bool ResponseTracker::on_first_packet(std::string_view payload) {
-  if (payload.empty()) throw MalformedPacketError("an empty answer");
   if (payload[0] == kErrorHeader) {
     failed_ = true;
     return true;
--- a/tests/integration/mysql_engine_session_test.cpp
+++ b/tests/integration/mysql_engine_session_test.cpp
@@ -188,6 +188,20 @@
   }
 }
 
+TEST_CASE("mysql session: a row without a byte ends the attempt as one whose response can't be read") {
+  // Guards against a result that no frontend can read, and so against a client without any answer.
+  PoolFixture fixture;
+  const AttemptKey lookup = fixture.send(Query::Kind::kStatement, "SELECT 1");
+  ScriptedMysqlSession session(fixture.loop, fixture.listener);
+  (void)session.read_command();
+  session.send_packet("\1");
+  session.send_packet("column definition");
+  session.send_packet(std::string_view("\xfe\0\0\2\0", 5));
+  session.send_packet("");
+  REQUIRE(fixture.wait_for_end(lookup));
+  CHECK(fixture.ended.at(lookup).outcome == Outcome::kConnectionLost);
+}
+
 namespace {
 
 // The header of a packet, and the packets of a text result with one column before its rows.
