--- a/src/sql/statement_class.cpp
+++ b/src/sql/statement_class.cpp
@@ -122,11 +122,13 @@
 
 bool may_change_session(std::string_view statement) {
   const bool is_cut = statement.size() > kMaxExaminedStart;
-  TokenCursor tokens(statement.substr(0, kMaxExaminedStart));
-  while (tokens.has_mark('(')) tokens.skip();
-  if (tokens.at_end()) return is_cut;
-  if (!is_any_word(tokens.peek(), kSessionNeutralStatements)) return true;
-  const Token& second = tokens.peek(1);
+  Lexer lexer(statement.substr(0, kMaxExaminedStart));
+  Token first = lexer.next();
+  while (is_mark(first, '(')) first = lexer.next();
+  if (first.kind == Token::Kind::kEnd) return is_cut;
+  if (!is_any_word(first, kSessionNeutralStatements)) return true;
+  if (!is_word(first, "CREATE")) return false;
+  const Token second = lexer.next();
   return is_word(second, "TEMPORARY") || (is_cut && second.kind == Token::Kind::kEnd);
 }
 
--- a/src/upstream/mysql_connection.cpp
+++ b/src/upstream/mysql_connection.cpp
@@ -52,7 +52,7 @@
 
 bool MysqlConnection::can_accept(const Query* query) const {
   if (!query) return session_.can_probe();
-  return session_.can_accept(session_attempt(*query).schema);
+  return session_.can_accept(session_schema(*query));
 }
 
 void MysqlConnection::set_kill_target(std::uint32_t engine_connection_id) {
@@ -64,19 +64,24 @@
   return {required_schema(query), query.statement};
 }
 
+// The schema that the session has after the query.
+const std::string& MysqlConnection::session_schema(const Query& query) const {
+  return query.kind == Query::Kind::kUseSchema ? query.statement : required_schema(query);
+}
+
 policy::SessionAttempt MysqlConnection::session_attempt(const Query& query) const {
   using Kind = policy::SessionAttempt::Kind;
   switch (query.kind) {
     case Query::Kind::kUseSchema:
-      return {Kind::kUseSchema, query.statement};
+      return {Kind::kUseSchema, session_schema(query)};
     case Query::Kind::kPrepare:
-      return {Kind::kPrepare, required_schema(query)};
+      return {Kind::kPrepare, session_schema(query)};
     case Query::Kind::kExecute:
-      return {Kind::kExecutePrepared, required_schema(query)};
+      return {Kind::kExecutePrepared, session_schema(query)};
     case Query::Kind::kStatement:
       break;
   }
-  return {Kind::kStatement, required_schema(query)};
+  return {Kind::kStatement, session_schema(query)};
 }
 
 const std::string& MysqlConnection::required_schema(const Query& query) const {
--- a/src/upstream/mysql_connection.h
+++ b/src/upstream/mysql_connection.h
@@ -75,6 +75,7 @@
 
   [[nodiscard]] const std::string& required_schema(const Query& query) const;
   [[nodiscard]] StatementKey statement_key(const Query& query) const;
+  [[nodiscard]] const std::string& session_schema(const Query& query) const;
   [[nodiscard]] policy::SessionAttempt session_attempt(const Query& query) const;
 
   MysqlPool& mysql_pool_;
