Fix: results in pages of line protocol engines were held without a limit for all of them

An engine whose results have 64 pages of 64 kB and lack their last one made the dispatcher hold 4 MB for each of its attempts, and 68 kB for each response that was partly received. Bytes are held first; only what is complete is counted, and here not even that. Change: pages and partly received responses ask policy::MemoryLedger, as results of MySQL engines do. The ledger gets a limit for all uses together.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -96,7 +96,7 @@
 std::unique_ptr<ConnectionPool> App::make_connection_pool(const Config& config) {
   const PoolLimits limits = pool_limits(config, 1);
   if (config.engine_protocol != EngineProtocol::kMysql) {
-    return std::make_unique<LineProtocolPool>(loop_, log_, dispatcher_, metrics_, limits);
+    return std::make_unique<LineProtocolPool>(loop_, log_, dispatcher_, metrics_, limits, memory_);
   }
   const MysqlEnginesConfig& account = config.mysql_engines;
   return std::make_unique<MysqlPool>(loop_, log_, dispatcher_, metrics_, limits,
--- a/src/upstream/line_protocol_connection.cpp
+++ b/src/upstream/line_protocol_connection.cpp
@@ -18,6 +18,9 @@
 
 }  // namespace
 
+LineProtocolConnection::LineProtocolConnection(LineProtocolPool& pool, SlotKey key, EngineId engine)
+    : EngineConnection(pool, key, engine), line_pool_(pool), partial_response_(pool.make_result_holding()) {}
+
 LineProtocolConnection::OpenAttempts::iterator LineProtocolConnection::find_attempt(AttemptKey key) {
   return std::find_if(attempts_by_id_.begin(), attempts_by_id_.end(),
                       [&](const auto& entry) { return entry.second.request.key == key; });
@@ -132,11 +135,7 @@
   const LineParseResult parsed = parse_line_response(bytes);
   switch (parsed.status) {
     case LineParseStatus::kIncomplete:
-      if (partial_response_deadline_ == Time::max()) {
-        partial_response_deadline_ = current_time() + limits().response_timeout;
-      }
-      update_response_deadline();
-      return 0;
+      return handle_partial_response(bytes.size());
     case LineParseStatus::kMalformed:
       fail_connection("malformed response");
       return bytes.size();
@@ -144,12 +143,26 @@
       break;
   }
   partial_response_deadline_ = Time::max();
+  partial_response_.release();
   record_activity();
   handle_response(parsed.response);
   if (stream().is_open()) update_response_deadline();
   return parsed.consumed;
 }
 
+// Returns the number of bytes taken: none, unless the connection was closed.
+std::size_t LineProtocolConnection::handle_partial_response(std::size_t bytes) {
+  if (bytes > partial_response_.bytes() && !partial_response_.try_add(bytes - partial_response_.bytes())) {
+    fail_connection("partial response exceeds the limit of buffered bytes");
+    return bytes;
+  }
+  if (partial_response_deadline_ == Time::max()) {
+    partial_response_deadline_ = current_time() + limits().response_timeout;
+  }
+  update_response_deadline();
+  return 0;
+}
+
 // Other data received on the connection does not extend a deadline.
 void LineProtocolConnection::update_response_deadline() {
   Time deadline = partial_response_deadline_;
@@ -201,6 +214,7 @@
   const auto count = parts ? parse_number<std::size_t>(*parts) : std::size_t{1};
   if (!count || *count == 0 || *count > kMaxPages) return fail_connection("invalid page count in a response");
   attempt.running = true;
+  attempt.memory = line_pool_.make_result_holding();
   attempt.pages.resize(*count);
   attempt.missing_pages = *count;
   std::string fetches;
@@ -253,13 +267,22 @@
 void LineProtocolConnection::add_page(const std::string& id, OpenAttempt& attempt, std::size_t number,
                                       std::string_view body) {
   if (attempt.pages[number]) return;
+  if (!attempt.memory.try_add(body.size())) return refuse_result(id);
   attempt.pages[number] = std::string(body);
   attempt.page_deadline = current_time() + limits().page_timeout;
   if (--attempt.missing_pages > 0) return;
   std::string result;
+  result.reserve(attempt.memory.bytes());
   for (const auto& page : attempt.pages) result += *page;
   if (attempt.pages.size() > 1) stream().write("END " + id + "\r\n");
   end_attempt(id, Outcome::kServed, std::move(result));
 }
 
+// The engine has finished the query and only holds the remaining pages.
+void LineProtocolConnection::refuse_result(const std::string& id) {
+  log_command("END", id);
+  stream().write("END " + id + "\r\n");
+  end_attempt(id, Outcome::kError, "the results exceed the limit of buffered bytes");
+}
+
 }  // namespace rookproxy
--- a/tests/integration/dispatcher_fixture.h
+++ b/tests/integration/dispatcher_fixture.h
@@ -137,7 +137,7 @@
   explicit DispatcherFixture(PoolLimits limits = make_limits())
       : log(log_text, LogLevel::kDebug, "h", "a"),
         dispatcher(loop, log, metrics, make_settings(), {"z0", "z1"}, {}),
-        pool(loop, log, dispatcher, metrics, limits) {
+        pool(loop, log, dispatcher, metrics, limits, memory) {
     dispatcher.set_transport(pool);
     loop.on_iteration_end([this] { dispatcher.process_events(); });
   }
@@ -200,6 +200,7 @@
   Logger log;
   Metrics metrics;
   Dispatcher dispatcher;
+  std::shared_ptr<policy::MemoryLedger> memory = std::make_shared<policy::MemoryLedger>();
   LineProtocolPool pool;
   std::uint64_t submitted = 0;
   std::vector<std::optional<Response>> responses;  // by correlation id, from 1
--- a/tests/policy/memory_ledger_test.cpp
+++ b/tests/policy/memory_ledger_test.cpp
@@ -23,6 +23,10 @@
   CHECK(ledger.limit(MemoryUse::kPreparedStatements) == std::size_t{24} << 20);
   CHECK(ledger.limit(MemoryUse::kEngineStatements) == std::size_t{6} << 20);
   CHECK(ledger.limit(MemoryUse::kEngineResults) == std::size_t{48} << 20);
+  CHECK(ledger.limit(MemoryUse::kStatements) == std::size_t{48} << 20);
+  CHECK(ledger.limit(MemoryUse::kPartialCommands) == std::size_t{24} << 20);
+  CHECK(ledger.limit(MemoryUse::kUnreadResponses) == std::size_t{24} << 20);
+  CHECK(ledger.total_limit() == std::size_t{120} << 20);
   ledger.apply_limits(std::size_t{192} << 20, 2);
   CHECK(ledger.limit(MemoryUse::kEngineResults) == std::size_t{24} << 20);
 }
