--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -65,7 +65,7 @@
     : loop_(loop),
       log_(log),
       config_(config),
-      dispatcher_(loop, log, metrics_, config.settings, config.zones, dispatcher_limits(config)),
+      dispatcher_(loop, log, metrics_, config.settings, config.zones, dispatcher_limits(config), memory_),
       connection_pool_(make_connection_pool(config)),
       readiness_(
           loop, [this] { return !discovery_ || discovery_->has_endpoint_list(); },
--- a/src/app/app.h
+++ b/src/app/app.h
@@ -66,12 +66,12 @@
   Logger& log_;
   Config config_;  // The configuration in force.
   Metrics metrics_;
+  // What is held for clients and engines, within this process's share of the memory.
+  std::shared_ptr<policy::MemoryLedger> memory_ = std::make_shared<policy::MemoryLedger>();
   Dispatcher dispatcher_;
   std::unique_ptr<auth::Authenticator> authenticator_;  // Null if callers are not authenticated.
   std::shared_ptr<const tls::ServerContext> tls_context_;
   std::unique_ptr<FileWatcher> credential_watch_;
-  // What is held for clients and engines, within this process's share of the memory.
-  std::shared_ptr<policy::MemoryLedger> memory_ = std::make_shared<policy::MemoryLedger>();
   std::unique_ptr<ConnectionPool> connection_pool_;
   std::unique_ptr<DnsDiscoveryClient> discovery_;  // Null if the list of engines is fixed.
   std::unique_ptr<Cluster> cluster_;               // Null if this dispatcher is not part of a cluster.
--- a/src/app/frontends.cpp
+++ b/src/app/frontends.cpp
@@ -12,10 +12,6 @@
 
 using TlsContext = std::shared_ptr<const tls::ServerContext>;
 
-// The memory of a dispatcher divided by this bounds the large messages that are being received; the same
-// bound applies to responses that clients have not read yet.
-constexpr std::size_t kClientBufferDivisor = 8;
-
 // The TLS context of the platform's frontend; null if it has no TLS.
 TlsContext platform_tls(const Config& config, const TlsContext& context) {
   return config.tls && config.tls->frames ? context : nullptr;
@@ -35,7 +31,7 @@
   if (config.listen) {
     platform_ = std::make_unique<FramesFrontend>(
         loop, log, dispatcher, turns_, open_client_listener(*config.listen, config.passed_socket, ""),
-        FramesFrontend::Limits(), authenticator, platform_tls(config, tls));
+        FramesFrontend::Limits(), authenticator, platform_tls(config, tls), memory);
     log.write(LogLevel::kNotice, "start", "serving frames",
               {{"port", std::to_string(platform_->port())},
                {"engines", std::to_string(config.initial_endpoints.size())}});
@@ -69,14 +65,10 @@
 }
 
 void Frontends::set_resource_limits(const Config& config, std::size_t process_count) {
-  const std::size_t buffer_bytes = (config.memory_mb << 20) / process_count / kClientBufferDivisor;
-  if (platform_) {
-    const std::size_t connections = max_client_connections(config.sockets) / process_count;
-    platform_->set_resource_limits(connections, buffer_bytes, buffer_bytes);
-  }
+  if (platform_) platform_->set_max_connections(max_client_connections(config.sockets) / process_count);
   if (mysql_) {
     const std::size_t connections = config.mysql->max_connections / process_count;
-    mysql_->set_resource_limits(std::max<std::size_t>(1, connections), buffer_bytes, buffer_bytes);
+    mysql_->set_max_connections(std::max<std::size_t>(1, connections));
   }
 }
 
--- a/src/app/limits.cpp
+++ b/src/app/limits.cpp
@@ -16,9 +16,6 @@
 // attempt costs engines more than it saves.
 constexpr std::size_t kPreferredStreams = 6;
 
-// The memory of a process divided by this is the bound on buffered statements and results.
-constexpr std::size_t kBufferedBytesDivisor = 4;
-
 // The operating system may allow fewer descriptors than the configuration does.
 policy::DescriptorBudget descriptor_budget(std::size_t sockets) {
   return policy::descriptor_budget(std::min(sockets, descriptor_limit()));
@@ -30,8 +27,6 @@
 
 std::size_t max_admin_connections(std::size_t sockets) { return descriptor_budget(sockets).admin; }
 
-std::size_t max_buffered_bytes(std::size_t memory_mb) { return (memory_mb << 20) / kBufferedBytesDivisor; }
-
 PoolLimits pool_limits(const Config& config, std::size_t process_count) {
   PoolLimits limits;
   limits.max_connections = descriptor_budget(config.sockets).engines / process_count;
@@ -61,7 +56,6 @@
   const Duration poll_pause =
       config.nameserver ? policy::PollSchedule(config.discovery_poll_interval).max_pause() : Duration(0);
   DispatcherLimits limits;
-  limits.max_buffered_bytes = max_buffered_bytes(config.memory_mb);
   limits.default_retry_after = config.rejection_retry_after;
   limits.cancel_report_delay = config.timer_resolution;
   limits.drain_margin = policy::drain_margin(poll_pause);
--- a/src/app/limits.h
+++ b/src/app/limits.h
@@ -15,9 +15,6 @@
 // The maximum number of connections to the admin address of a process with this limit on sockets.
 [[nodiscard]] std::size_t max_admin_connections(std::size_t sockets);
 
-// The maximum size of buffered statements and results for this limit on memory.
-[[nodiscard]] std::size_t max_buffered_bytes(std::size_t memory_mb);
-
 // The limits of the connections to engines for one of `process_count` processes of a dispatcher.
 [[nodiscard]] PoolLimits pool_limits(const Config& config, std::size_t process_count);
 
--- a/src/app/startup.h
+++ b/src/app/startup.h
@@ -13,4 +13,8 @@
 // that serves.
 void start_with_retries(Logger& log, const std::function<void()>& start);
 
+// Makes the allocator return the memory of large buffers to the system when they are released, so that limits
+// on what is held are limits on what the process uses.
+void return_large_buffers();
+
 }  // namespace rookproxy
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -22,8 +22,15 @@
 }  // namespace
 
 Dispatcher::Dispatcher(EventLoop& loop, Logger& log, Metrics& metrics, const routing::Settings& settings,
-                       std::vector<std::string> zones, DispatcherLimits limits)
-    : loop_(loop), log_(log), metrics_(metrics), limits_(limits), router_(settings), request_log_(log) {
+                       std::vector<std::string> zones, DispatcherLimits limits,
+                       std::shared_ptr<policy::MemoryLedger> memory)
+    : loop_(loop),
+      log_(log),
+      metrics_(metrics),
+      limits_(limits),
+      memory_(std::move(memory)),
+      router_(settings),
+      request_log_(log) {
   engines_.set_zones(std::move(zones));
   apply_settings(settings);
 }
@@ -71,8 +78,8 @@
   request.incoming.deadline -= limits_.response_margin;
   request.handler = &handler;
   request.correlation_id = correlation_id;
-  request.buffered_bytes = incoming.query->bytes();
-  const bool overloaded = is_overloaded(request.buffered_bytes);
+  const bool overloaded =
+      !try_hold(*incoming.query) || requests_.unanswered() >= limits_.max_unanswered_requests;
   settings_.add_request(incoming.class_index);
   const RequestKey key = requests_.add(std::move(request));
   if (overloaded) {
@@ -85,9 +92,9 @@
   return key;
 }
 
-bool Dispatcher::is_overloaded(std::size_t additional_bytes) const {
-  return requests_.buffered_bytes() + additional_bytes > limits_.max_buffered_bytes / process_count_ ||
-         requests_.unanswered() >= limits_.max_unanswered_requests;
+bool Dispatcher::try_hold(Query& query) const {
+  query.memory = policy::MemoryHolding(memory_, policy::MemoryUse::kStatements);
+  return query.memory.try_add(query.bytes());
 }
 
 // Rejects a request that has no attempts. The response is deferred, since handlers get no response within
--- a/src/dispatcher/dispatcher.h
+++ b/src/dispatcher/dispatcher.h
@@ -32,9 +32,11 @@
 // must outlive it.
 class Dispatcher final : public EngineTransportCallbacks {
  public:
-  // `zones` are the names of the settings' zones, by index. Throws routing::InvalidSettings.
+  // `zones` are the names of the settings' zones, by index. `memory` limits what the queries of open requests
+  // hold; if it is null, they have no limit. Throws routing::InvalidSettings.
   Dispatcher(EventLoop& loop, Logger& log, Metrics& metrics, const routing::Settings& settings,
-             std::vector<std::string> zones, DispatcherLimits limits);
+             std::vector<std::string> zones, DispatcherLimits limits,
+             std::shared_ptr<policy::MemoryLedger> memory = nullptr);
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
 
@@ -53,8 +55,8 @@
                        DispatcherLimits limits);
   // Whether the transition period of the last change is not over yet.
   [[nodiscard]] bool in_settings_transition() const { return in_settings_transition_; }
-  // Sets the number of processes that share the work of this dispatcher. The limits on buffered bytes and on
-  // the load of an engine in slow start are divided among them.
+  // Sets the number of processes that share the work of this dispatcher. The limit on the
+  // load of an engine in slow start is divided among them.
   void set_process_count(std::size_t count);
 
   // Returns the index of a class, which is valid until the caller returns to the event loop, or longer while
@@ -111,7 +113,7 @@
  private:
   void apply_settings(const routing::Settings& settings);
 
-  [[nodiscard]] bool is_overloaded(std::size_t additional_bytes) const;
+  [[nodiscard]] bool try_hold(Query& query) const;
   void reject_overloaded(RequestKey key);
   void schedule_deadline(RequestKey key, Time deadline);
   void queue_arrival(RequestKey key, const IncomingRequest& incoming);
@@ -145,6 +147,7 @@
   Logger& log_;
   Metrics& metrics_;
   DispatcherLimits limits_;
+  std::shared_ptr<policy::MemoryLedger> memory_;
   routing::Router router_;
   EngineTransport* transport_ = nullptr;
   ActiveSettings settings_;
--- a/src/dispatcher/limits.h
+++ b/src/dispatcher/limits.h
@@ -10,8 +10,6 @@
 
 // Limits and margins of one dispatcher process.
 struct DispatcherLimits {
-  // The total size of buffered queries; requests that would exceed it are rejected.
-  std::size_t max_buffered_bytes = 32u << 20;
   std::size_t max_unanswered_requests = 20'000;
   // How long before the client's deadline responses are sent, so that they arrive in time.
   Duration response_margin = std::chrono::milliseconds(8);
--- a/src/dispatcher/request.h
+++ b/src/dispatcher/request.h
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "net/slot_map.h"
+#include "policy/memory_ledger.h"
 #include "rookproxy/routing/router.h"
 
 namespace rookproxy {
@@ -43,8 +44,10 @@
   bool is_idempotent = false;
   // Whether the result is returned as tab-separated lines or as the engine's packets.
   bool rows_as_text_lines = true;
+  // What its contents hold, from its submission until the last connection to an engine has sent it.
+  policy::MemoryHolding memory;
 
-  // The size of its contents, for the limit on buffered bytes.
+  // The size of its contents.
   [[nodiscard]] std::size_t bytes() const {
     std::size_t sum = statement.size() + parameters.size();
     for (const auto& [parameter, data] : long_data) sum += data.size();
@@ -54,7 +57,7 @@
 
 // A request as submitted by a frontend.
 struct IncomingRequest {
-  std::shared_ptr<const Query> query;
+  std::shared_ptr<Query> query;
   routing::ClassIndex class_index = 0;
   std::uint64_t table_group = 0;
   // When the client stops waiting.
--- a/src/dispatcher/request_table.cpp
+++ b/src/dispatcher/request_table.cpp
@@ -19,7 +19,6 @@
 
 RequestKey RequestTable::add(Request request) {
   ++unanswered_;
-  buffered_bytes_ += request.buffered_bytes;
   return requests_.insert(std::move(request));
 }
 
@@ -43,7 +42,6 @@
 std::optional<Request> RequestTable::release_if_done(RequestKey key) {
   const Request* request = requests_.find(key);
   if (!request || !request->is_completed || request->attempts_in_flight > 0) return std::nullopt;
-  buffered_bytes_ -= request->buffered_bytes;
   return requests_.take(key);
 }
 
--- a/src/dispatcher/request_table.h
+++ b/src/dispatcher/request_table.h
@@ -43,7 +43,6 @@
   std::vector<Attempt> attempts;
   // Fails the request if the router has not ended it by the deadline.
   TimerId deadline_timer{};
-  std::size_t buffered_bytes = 0;
   std::string last_error;
 
   // Whether any attempt may have run on an engine.
@@ -69,12 +68,10 @@
 
   [[nodiscard]] std::size_t size() const { return requests_.size(); }
   [[nodiscard]] std::size_t unanswered() const { return unanswered_; }
-  [[nodiscard]] std::size_t buffered_bytes() const { return buffered_bytes_; }
 
  private:
   SlotMap<Request> requests_;
   std::size_t unanswered_ = 0;
-  std::size_t buffered_bytes_ = 0;
 };
 
 }  // namespace rookproxy
--- a/src/frontend/connection_table.h
+++ b/src/frontend/connection_table.h
@@ -13,7 +13,7 @@
 namespace rookproxy {
 
 // Owns a frontend's connections and identifies them by keys that are never reused. `Connection` must have
-// is_evictable(Time), eviction_order(), close_after_responses(), is_flushed(), unread_response_bytes() and
+// is_evictable(Time), eviction_order(), close_after_responses(), is_flushed(), update_unread_memory() and
 // recheck_certificate(). Must be used on the event loop's thread; the loop must outlive it.
 template <class Connection>
 class ConnectionTable {
@@ -49,11 +49,9 @@
     }
   }
 
-  // Returns the number of response bytes that clients have not read, over all connections.
-  [[nodiscard]] std::size_t unread_response_bytes() const {
-    std::size_t sum = 0;
-    for_each([&sum](const Connection& connection) { sum += connection.unread_response_bytes(); });
-    return sum;
+  // Counts the response bytes that clients have not read, for all connections.
+  void update_unread_memory() const {
+    for_each([](Connection& connection) { connection.update_unread_memory(); });
   }
   // Returns true if no bytes are queued for any client.
   [[nodiscard]] bool is_flushed() const {
--- a/src/frontend/frames_connection.cpp
+++ b/src/frontend/frames_connection.cpp
@@ -26,7 +26,8 @@
       certificate_(frontend.authenticator_ && channel ? std::make_unique<auth::CertificateAuthenticator>(
                                                             *frontend.authenticator_, channel.get())
                                                       : nullptr),
-      reserved_bytes_(frontend.partial_frame_bytes_),
+      frame_memory_(frontend.memory_, policy::MemoryUse::kPartialCommands),
+      unread_memory_(frontend.memory_, policy::MemoryUse::kUnreadResponses),
       accepted_at_(frontend.loop_.now()),
       last_bytes_at_(accepted_at_),
       stream_(frontend.loop_, std::move(fd), *this, false, kInputLimit, std::move(channel)) {
@@ -76,10 +77,13 @@
 // frame must be completed within the frame timeout.
 std::size_t FramesFrontend::Connection::handle_partial_frame(std::string_view bytes) {
   frame_started();
-  if (bytes.size() < frames::kHeaderSize || reserved_bytes_.is_active()) return 0;
+  if (bytes.size() < frames::kHeaderSize || frame_memory_.bytes() > 0) return 0;
   const frames::FrameHeader header = frames::parse_frame_header(bytes);
   if (header.frame_size <= kLargeFrameThreshold) return 0;
-  if (reserved_bytes_.try_reserve(header.frame_size, frontend_.limits_.max_partial_frame_bytes)) return 0;
+  if (frame_memory_.try_add(header.frame_size)) {
+    stream_.reserve_input(header.frame_size);
+    return 0;
+  }
   if (closing_ || !starts_request(header.type, header.stream_id)) {
     return handle_framing_error("no room for a frame so large", bytes);
   }
@@ -131,7 +135,7 @@
 void FramesFrontend::Connection::frame_finished() {
   frontend_.loop_.cancel(frame_timer_);
   frame_in_progress_ = false;
-  reserved_bytes_.release();
+  frame_memory_.release();
   update_idle_state();
 }
 
@@ -169,7 +173,7 @@
   stream_.write(std::move(bytes));
   if (stream_.queued_bytes() <= frontend_.limits_.max_unread_bytes_per_connection) return;
   paused_for_unread_responses_ = true;
-  if (frontend_.connections_.unread_response_bytes() <= frontend_.limits_.max_unread_response_bytes) return;
+  if (!frontend_.has_too_many_unread_bytes()) return;
   // A graceful close would wait until the client reads the very bytes that exceed the limit.
   frontend_.log_.write(LogLevel::kNotice, "frames",
                        "client does not read its responses; closing the connection", {});
@@ -177,6 +181,7 @@
 }
 
 void FramesFrontend::Connection::on_flushed() {
+  unread_memory_.release();
   if (!std::exchange(paused_for_unread_responses_, false)) return;
   stream_.set_read_paused(false);
   stream_.schedule_read();
@@ -278,7 +283,7 @@
 void FramesFrontend::Connection::close_gracefully() {
   if (std::exchange(close_started_, true)) return;
   frame_in_progress_ = false;
-  reserved_bytes_.release();
+  frame_memory_.release();
   stop_accepting_requests();
   frontend_.closing_.push_back(key_);
   stream_.close_gracefully(frontend_.linger_timeout_);
--- a/src/frontend/frames_connection.h
+++ b/src/frontend/frames_connection.h
@@ -11,7 +11,6 @@
 #include <string_view>
 #include <vector>
 
-#include "frontend/byte_reservation.h"
 #include "frontend/frame_request.h"
 #include "frontend/frames_frontend.h"
 #include "net/file_descriptor.h"
@@ -55,7 +54,8 @@
   // Returns true if the connection is closable and its first bytes could be read since it was accepted.
   [[nodiscard]] bool is_evictable(Time now) const;
   [[nodiscard]] EvictionOrder eviction_order() const;
-  [[nodiscard]] std::size_t unread_response_bytes() const { return stream_.queued_bytes(); }
+  // Counts the response bytes that the client has not read.
+  void update_unread_memory() { unread_memory_.set(stream_.queued_bytes()); }
   [[nodiscard]] bool is_flushed() const { return stream_.queued_bytes() == 0; }
   // Returns true if a partial frame has been received and has not stalled.
   [[nodiscard]] bool is_receiving() const;
@@ -151,8 +151,10 @@
   policy::Denial denial_ = policy::Denial::kNone;
   // True if a frame was received only in part.
   bool frame_in_progress_ = false;
-  // The reservation in the budget for large partial frames.
-  ByteReservation reserved_bytes_;
+  // What a large partial frame holds.
+  policy::MemoryHolding frame_memory_;
+  // What the client has not read, counted while it is much.
+  policy::MemoryHolding unread_memory_;
   Time accepted_at_;
   Time last_bytes_at_;
   // Default-initialized until the first frame has arrived.
--- a/src/frontend/frames_connection_requests.cpp
+++ b/src/frontend/frames_connection_requests.cpp
@@ -85,7 +85,8 @@
   if (!token) {
     return finish_authentication(correlation_id, std::move(incoming), authenticate_by_certificate());
   }
-  if (!frontend_.has_room_for_check(incoming.query->bytes())) {
+  PendingRequest& request = *frontend_.pending_requests_.find(correlation_id);
+  if (!frontend_.try_hold_unsubmitted(request, policy::MemoryUse::kTokenChecks, incoming.query->bytes())) {
     const Duration retry_after = frontend_.dispatcher_.overload_retry_after();
     return finish_authentication(correlation_id, std::move(incoming),
                                  {policy::Denial::kBusy, nullptr, retry_after, false});
@@ -104,22 +105,21 @@
 
 void FramesFrontend::Connection::check_token(SlotKey correlation_id, IncomingRequest incoming,
                                              std::string_view token) {
-  const std::size_t bytes = incoming.query->bytes();
   const Time deadline = std::max(frontend_.loop_.now(), incoming.deadline - kResponseMargin);
   auto waiting = std::make_shared<IncomingRequest>(std::move(incoming));
   // The callback is destroyed with the check, which ends no later than this connection.
   const auto on_checked = [this, correlation_id, waiting](const auth::AuthenticationResult& result) {
-    frontend_.release_unsubmitted(*frontend_.pending_requests_.find(correlation_id));
+    FramesFrontend::end_wait(*frontend_.pending_requests_.find(correlation_id));
     if (!refresh_class(correlation_id, *waiting)) return;
     finish_authentication(correlation_id, std::move(*waiting), result);
   };
   auto check = frontend_.authenticator_->check_token(token, key_, deadline, on_checked);
+  PendingRequest& request = *frontend_.pending_requests_.find(correlation_id);
   if (const auto* result = std::get_if<auth::AuthenticationResult>(&check)) {
+    FramesFrontend::end_wait(request);
     return finish_authentication(correlation_id, std::move(*waiting), *result);
   }
-  PendingRequest& request = *frontend_.pending_requests_.find(correlation_id);
   request.check = std::get<auth::Authenticator::CheckId>(check);
-  frontend_.hold_unsubmitted(request, bytes);
 }
 
 // A change of the settings while the request waited may have changed the index of its class. Fails the
@@ -175,8 +175,8 @@
 
 void FramesFrontend::Connection::wait_for_turn(SlotKey correlation_id, IncomingRequest incoming,
                                                Credential credential) {
-  const std::size_t bytes = incoming.query->bytes();
-  if (!frontend_.has_room_for_turn_wait(bytes)) {
+  PendingRequest& request = *frontend_.pending_requests_.find(correlation_id);
+  if (!frontend_.try_hold_unsubmitted(request, policy::MemoryUse::kTurnWaits, incoming.query->bytes())) {
     return reject_for_overload(correlation_id, incoming, "no room for a statement that has to wait");
   }
   const Time deadline = incoming.deadline;
@@ -187,14 +187,12 @@
   const auto on_decision = [this, correlation_id, waiting](TurnDecision decision) {
     end_wait_for_turn(correlation_id, std::move(*waiting), decision);
   };
-  PendingRequest& request = *frontend_.pending_requests_.find(correlation_id);
   request.turn_wait = frontend_.turns_.wait(deadline, on_decision);
-  frontend_.hold_unsubmitted(request, bytes);
 }
 
 void FramesFrontend::Connection::end_wait_for_turn(SlotKey correlation_id, WaitingRequest waiting,
                                                    TurnDecision decision) {
-  frontend_.release_unsubmitted(*frontend_.pending_requests_.find(correlation_id));
+  FramesFrontend::end_wait(*frontend_.pending_requests_.find(correlation_id));
   if (!refresh_class(correlation_id, waiting.incoming)) return;
   if (decision == TurnDecision::kRefused) {
     return reject_for_overload(correlation_id, waiting.incoming, "no room in time");
--- a/src/frontend/frames_frontend.cpp
+++ b/src/frontend/frames_frontend.cpp
@@ -12,8 +12,6 @@
 
 // The maximum size of a response's header, code and fields, in bytes.
 constexpr std::size_t kResponseOverhead = 1024;
-// Requests that wait to be read may use this part of the limit for requests that are not submitted yet.
-constexpr std::size_t kTurnWaitDivisor = 2;
 
 std::string_view response_message(const Response& response) {
   switch (response.cause) {
@@ -36,7 +34,8 @@
 
 FramesFrontend::FramesFrontend(EventLoop& loop, Logger& log, Dispatcher& dispatcher, TurnScheduler& turns,
                                FileDescriptor listener, Limits limits, auth::Authenticator* authenticator,
-                               std::shared_ptr<const tls::ServerContext> tls)
+                               std::shared_ptr<const tls::ServerContext> tls,
+                               std::shared_ptr<policy::MemoryLedger> memory)
     : loop_(loop),
       log_(log),
       dispatcher_(dispatcher),
@@ -44,6 +43,7 @@
       limits_(limits),
       authenticator_(authenticator),
       tls_(std::move(tls)),
+      memory_(std::move(memory)),
       connections_(loop),
       acceptor_(
           loop, std::move(listener), [this](FileDescriptor fd) { accept(std::move(fd)); }, false,
@@ -63,36 +63,32 @@
   if (!request) return;
   if (request->check != 0) {
     authenticator_->cancel_check(request->check);
-    release_unsubmitted(*request);
   } else if (request->turn_wait != 0) {
     turns_.cancel(request->turn_wait);
-    release_unsubmitted(*request);
   } else {
     dispatcher_.cancel_request(request->request);
   }
 }
 
-bool FramesFrontend::has_room_for_check(std::size_t bytes) const {
-  return unsubmitted_bytes_ + bytes <= limits_.max_partial_frame_bytes;
-}
-
-// Long statements that wait leave room for the token checks of other requests.
-bool FramesFrontend::has_room_for_turn_wait(std::size_t bytes) const {
-  return unsubmitted_bytes_ + bytes <= limits_.max_partial_frame_bytes / kTurnWaitDivisor;
-}
-
-void FramesFrontend::hold_unsubmitted(PendingRequest& request, std::size_t bytes) {
-  request.unsubmitted_bytes = bytes;
-  unsubmitted_bytes_ += bytes;
+// Returns false if the request must not wait, for lack of memory.
+bool FramesFrontend::try_hold_unsubmitted(PendingRequest& request, policy::MemoryUse use,
+                                          std::size_t bytes) const {
+  request.memory = policy::MemoryHolding(memory_, use);
+  return request.memory.try_add(bytes);
 }
 
 // Must be called when the token check or the wait for a turn has ended.
-void FramesFrontend::release_unsubmitted(PendingRequest& request) {
-  unsubmitted_bytes_ -= std::exchange(request.unsubmitted_bytes, 0);
+void FramesFrontend::end_wait(PendingRequest& request) {
+  request.memory.release();
   request.check = 0;
   request.turn_wait = 0;
 }
 
+bool FramesFrontend::has_too_many_unread_bytes() const {
+  connections_.update_unread_memory();
+  return memory_ && memory_->is_exceeded(policy::MemoryUse::kUnreadResponses);
+}
+
 bool FramesFrontend::is_full() const {
   return connections_.size() - closing_.size() + max_closing() >= limits_.max_connections;
 }
@@ -176,13 +172,6 @@
   connections_.close_after_responses();
 }
 
-void FramesFrontend::set_resource_limits(std::size_t max_connections, std::size_t max_partial_frame_bytes,
-                                         std::size_t max_unread_response_bytes) {
-  limits_.max_connections = max_connections;
-  limits_.max_partial_frame_bytes = max_partial_frame_bytes;
-  limits_.max_unread_response_bytes = max_unread_response_bytes;
-}
-
 bool FramesFrontend::is_receiving() const {
   bool receiving = false;
   connections_.for_each(
--- a/src/frontend/frames_frontend.h
+++ b/src/frontend/frames_frontend.h
@@ -35,10 +35,6 @@
     std::size_t max_open_requests = 32;
     // The number of unread response bytes of one client above which its frames are not handled.
     std::size_t max_unread_bytes_per_connection = 256 * 1024;
-    // Limits for all connections together: bytes of partially received large frames and, separately, of
-    // requests that have not been submitted yet; and unread response bytes.
-    std::size_t max_partial_frame_bytes = 4u << 20;
-    std::size_t max_unread_response_bytes = 8u << 20;
     Duration idle_timeout = std::chrono::seconds(60);
     // A connection without a frame after this time is closed. Must be less than the 3 s within which the
     // protocol requires faulty clients to be disconnected.
@@ -52,7 +48,8 @@
   // identified. With `tls` every connection is encrypted from its first byte.
   FramesFrontend(EventLoop& loop, Logger& log, Dispatcher& dispatcher, TurnScheduler& turns,
                  FileDescriptor listener, Limits limits, auth::Authenticator* authenticator = nullptr,
-                 std::shared_ptr<const tls::ServerContext> tls = nullptr);
+                 std::shared_ptr<const tls::ServerContext> tls = nullptr,
+                 std::shared_ptr<policy::MemoryLedger> memory = nullptr);
   ~FramesFrontend();
   FramesFrontend(const FramesFrontend&) = delete;
   FramesFrontend& operator=(const FramesFrontend&) = delete;
@@ -68,10 +65,8 @@
   void close_all_gracefully(Duration timeout);
   [[nodiscard]] bool has_connections() const { return connections_.size() > 0; }
   void set_accepting(bool accepting) { accepting ? acceptor_.start() : acceptor_.stop(); }
-  // Changes the limits that depend on how many processes share the dispatcher's resources. Connections above
-  // the new limits are evicted when new clients connect.
-  void set_resource_limits(std::size_t max_connections, std::size_t max_partial_frame_bytes,
-                           std::size_t max_unread_response_bytes);
+  // Changes the limit on connections. Connections above it are evicted when new clients connect.
+  void set_max_connections(std::size_t max_connections) { limits_.max_connections = max_connections; }
   // Returns true if no bytes are queued for any client and no request waits for a token check or a turn.
   [[nodiscard]] bool is_flushed() const;
   // Returns true if a frame is being received on any connection.
@@ -90,8 +85,8 @@
     auth::Authenticator::CheckId check = 0;
     // The wait until the statement may be read; 0 if there is none.
     TurnScheduler::WaitId turn_wait = 0;
-    // The request's part of `unsubmitted_bytes_`.
-    std::size_t unsubmitted_bytes = 0;
+    // What it holds during the check or the wait.
+    policy::MemoryHolding memory;
   };
   void accept(FileDescriptor fd);
   void drop(SlotKey key);
@@ -104,10 +99,10 @@
   void client_disconnected(SlotKey key);
   std::optional<PendingRequest> take_pending_request(SlotKey correlation_id);
   void cancel_request(SlotKey correlation_id);
-  [[nodiscard]] bool has_room_for_check(std::size_t bytes) const;
-  [[nodiscard]] bool has_room_for_turn_wait(std::size_t bytes) const;
-  void hold_unsubmitted(PendingRequest& request, std::size_t bytes);
-  void release_unsubmitted(PendingRequest& request);
+  [[nodiscard]] bool try_hold_unsubmitted(PendingRequest& request, policy::MemoryUse use,
+                                          std::size_t bytes) const;
+  static void end_wait(PendingRequest& request);
+  [[nodiscard]] bool has_too_many_unread_bytes() const;
   [[nodiscard]] bool has_unsubmitted_requests() const;
 
   EventLoop& loop_;
@@ -118,10 +113,7 @@
   // Null if callers are not identified.
   auth::Authenticator* authenticator_;
   std::shared_ptr<const tls::ServerContext> tls_;
-  // The total size of all partially received large frames.
-  std::size_t partial_frame_bytes_ = 0;
-  // The total size of the requests whose tokens are being checked or whose statements wait to be read.
-  std::size_t unsubmitted_bytes_ = 0;
+  std::shared_ptr<policy::MemoryLedger> memory_;
   ConnectionTable<Connection> connections_;
   SlotMap<PendingRequest> pending_requests_;
   // The connections that are closing gracefully, in the order in which they are dropped.
--- a/src/frontend/mysql_connection.cpp
+++ b/src/frontend/mysql_connection.cpp
@@ -40,7 +40,8 @@
     : frontend_(frontend),
       key_(key),
       nonce_(mysql::generate_nonce()),
-      reserved_bytes_(frontend.partial_command_bytes_),
+      command_memory_(frontend.memory_, policy::MemoryUse::kPartialCommands),
+      unread_memory_(frontend.memory_, policy::MemoryUse::kUnreadResponses),
       stream_(frontend.loop_, std::move(fd), *this, false, kInputLimit) {
   mysql::Greeting greeting;
   greeting.connection_id = frontend_.next_thread_id_++;
@@ -64,7 +65,6 @@
     wait_for_turn();
     return 0;
   }
-  reserved_bytes_.release();
   const std::uint8_t expected_sequence = is_logging_in() ? sequence_ : 0;
   sequence_ = message.next_sequence;
   if (message.too_large) {
@@ -78,6 +78,7 @@
   std::optional<TurnScheduler::Turn> turn;
   if (in_turn) turn.emplace(frontend_.turns_);
   handle_message(message);
+  command_memory_.release();  // The command is in the input until it is handled.
   return message.consumed;
 }
 
@@ -133,10 +134,13 @@
 // Reserves budget for a partially received large command. If none is left, sends an error to the client and
 // returns false.
 bool MysqlFrontend::Connection::reserve_command_bytes(std::string_view bytes) {
-  if (bytes.size() < mysql::kHeaderSize || reserved_bytes_.is_active()) return true;
+  if (bytes.size() < mysql::kHeaderSize || command_memory_.bytes() > 0) return true;
   const std::size_t length = PayloadReader(bytes.substr(0, kPacketLengthSize)).integer(kPacketLengthSize);
   if (length <= kLargeCommandThreshold) return true;
-  if (reserved_bytes_.try_reserve(length, frontend_.max_partial_command_bytes_)) return true;
+  if (command_memory_.try_add(length)) {
+    stream_.reserve_input(mysql::kHeaderSize + length);
+    return true;
+  }
   sequence_ = static_cast<std::uint8_t>(bytes[kPacketLengthSize] + 1);
   fatal(mysql::kOutOfResources, "No room for a command so large");
   return false;
@@ -148,10 +152,7 @@
   stream_.write(std::move(packets));
   const std::size_t queued = stream_.queued_bytes();
   if (queued <= kLargeCommandThreshold) return;
-  if (queued <= kMaxUnreadBytes &&
-      frontend_.connections_.unread_response_bytes() <= frontend_.max_unread_response_bytes_) {
-    return;
-  }
+  if (queued <= kMaxUnreadBytes && !frontend_.has_too_many_unread_bytes()) return;
   frontend_.log_.write(LogLevel::kNotice, "mysql",
                        "client does not read its responses; closing the connection", {{"user", login_.user}});
   frontend_.loop_.defer([&frontend = frontend_, key = key_] { frontend.drop(key); });
@@ -273,7 +274,7 @@
 void MysqlFrontend::Connection::close_gracefully() {
   state_ = State::kClosing;
   frontend_.loop_.cancel(timer_);
-  reserved_bytes_.release();
+  command_memory_.release();
   stream_.close_gracefully(frontend_.linger_timeout_);
 }
 
--- a/src/frontend/mysql_connection.h
+++ b/src/frontend/mysql_connection.h
@@ -9,7 +9,6 @@
 #include <string>
 #include <string_view>
 
-#include "frontend/byte_reservation.h"
 #include "frontend/mysql_frontend.h"
 #include "frontend/prepared_statements.h"
 #include "mysql/protocol.h"
@@ -30,13 +29,15 @@
   void on_closed(std::string_view) override { frontend_.drop(key_); }
   // Unread commands of a disconnected client are discarded.
   void on_hangup() override { frontend_.client_disconnected(key_); }
+  void on_flushed() override { unread_memory_.release(); }
 
   // Writes the response to the command that was submitted to the dispatcher. Returns the status sent to the
   // client, which is a failure if the result can't be read.
   ResponseStatus handle_response(Response response);
 
   [[nodiscard]] bool is_flushed() const { return stream_.queued_bytes() == 0; }
-  [[nodiscard]] std::size_t unread_response_bytes() const { return stream_.queued_bytes(); }
+  // Counts the response bytes that the client has not read.
+  void update_unread_memory() { unread_memory_.set(stream_.queued_bytes()); }
   [[nodiscard]] bool is_logged_in() const {
     return state_ == State::kReady || state_ == State::kWaitingForTurn || state_ == State::kBusy;
   }
@@ -152,8 +153,10 @@
   bool autocommit_ = true;
   PreparedStatements statements_;
   std::optional<RequestKey> request_;
-  // The reservation in the budget for large partial commands.
-  ByteReservation reserved_bytes_;
+  // What a large partial command holds.
+  policy::MemoryHolding command_memory_;
+  // What the client has not read, counted while it is much.
+  policy::MemoryHolding unread_memory_;
   // The wait of the command for its turn; 0 if there is none.
   TurnScheduler::WaitId turn_wait_ = 0;
   // Set if the command that is handled next has waited for its turn.
--- a/src/frontend/mysql_frontend.cpp
+++ b/src/frontend/mysql_frontend.cpp
@@ -114,11 +114,9 @@
   accepting ? acceptor_->start() : acceptor_->stop();
 }
 
-void MysqlFrontend::set_resource_limits(std::size_t max_connections, std::size_t max_partial_command_bytes,
-                                        std::size_t max_unread_response_bytes) {
-  config_.max_connections = max_connections;
-  max_partial_command_bytes_ = max_partial_command_bytes;
-  max_unread_response_bytes_ = max_unread_response_bytes;
+bool MysqlFrontend::has_too_many_unread_bytes() const {
+  connections_.update_unread_memory();
+  return memory_ && memory_->is_exceeded(policy::MemoryUse::kUnreadResponses);
 }
 
 void MysqlFrontend::close_after_next_response() {
--- a/src/frontend/mysql_frontend.h
+++ b/src/frontend/mysql_frontend.h
@@ -26,8 +26,8 @@
  public:
   // Accepts no connections until set_accepting(true) is called. Without an authenticator callers are
   // identified by password only. `tls` is offered to clients; with `tls_required`, clients that don't use it
-  // are rejected. `seed` initializes the generator of request ids. `memory` limits what prepared statements
-  // hold; if it is null, they have no limit.
+  // are rejected. `seed` initializes the generator of request ids. `memory` limits what connections hold;
+  // if it is null, they have no limit.
   MysqlFrontend(EventLoop& loop, Logger& log, Dispatcher& dispatcher, TurnScheduler& turns,
                 FileDescriptor listener, MysqlFrontendConfig config, std::uint64_t seed,
                 auth::Authenticator* authenticator = nullptr,
@@ -54,25 +54,19 @@
   // closed.
   void close_all_gracefully(Duration timeout);
   [[nodiscard]] bool has_connections() const { return connections_.size() > 0; }
-  // Changes the limits that depend on how many processes share the dispatcher's resources. The byte limits,
-  // for partially received large commands and for unread responses, apply to all connections together.
-  void set_resource_limits(std::size_t max_connections,
-                           std::size_t max_partial_command_bytes = kDefaultByteLimit,
-                           std::size_t max_unread_response_bytes = kDefaultByteLimit);
+  void set_max_connections(std::size_t max_connections) { config_.max_connections = max_connections; }
   // Returns true if no bytes are queued for any client.
   [[nodiscard]] bool is_flushed() const;
-  // Returns true if a large command is being received on any connection.
-  [[nodiscard]] bool is_receiving_large_command() const { return partial_command_bytes_ > 0; }
   [[nodiscard]] std::uint16_t port() const { return port_; }
 
  private:
   class Connection;
-  static constexpr std::size_t kDefaultByteLimit = 24u << 20;
 
   void accept(FileDescriptor fd);
   void drop(SlotKey key);
   void client_disconnected(SlotKey key);
   [[nodiscard]] bool ensure_capacity();
+  [[nodiscard]] bool has_too_many_unread_bytes() const;
   std::string new_call_id();
 
   EventLoop& loop_;
@@ -87,10 +81,6 @@
   std::shared_ptr<policy::MemoryLedger> memory_;
   std::uint64_t call_id_state_;
   std::uint32_t next_thread_id_ = 1;
-  std::size_t max_partial_command_bytes_ = kDefaultByteLimit;
-  std::size_t max_unread_response_bytes_ = kDefaultByteLimit;
-  // The total size of all partially received large commands.
-  std::size_t partial_command_bytes_ = 0;
   ConnectionTable<Connection> connections_;
   std::uint16_t port_;
   bool closing_after_response_ = false;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -56,6 +56,7 @@
 int run(const ProgramOptions& options, Logger& log) {
   const Config config = load_config(read_environment(), options.config_file);
   if (options.check_only) return check_configuration(config);
+  return_large_buffers();
   log.set_host(config.name);
   configure_log(log, config.log);
   std::optional<EventLoop> loop;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t kReadChunkSize = 16 * 1024;
 // The maximum number of bytes that a channel encrypts at a time.
 constexpr std::size_t kMaxRecordSize = 16 * 1024;
-constexpr std::size_t kWritesPerCall = 32;
+constexpr std::size_t kPartsPerCall = 32;
 
 bool would_block(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
 
@@ -94,11 +94,16 @@
   if (socket_ && !connecting_) read_available();
 }
 
-Stream::WriteId Stream::write(std::string bytes, std::uint64_t* completed_counter) {
+std::string_view Stream::PendingWrite::part_at(std::size_t offset) const {
+  if (offset < head.size()) return std::string_view(head).substr(offset);
+  return body.bytes.substr(offset - head.size());
+}
+
+Stream::WriteId Stream::write(std::string head, SharedBytes body, std::uint64_t* completed_counter) {
   const WriteId id = next_write_id_++;
   if (closing_gracefully_) return id;
-  queued_bytes_ += bytes.size();
-  pending_writes_.push_back({id, std::move(bytes), completed_counter});
+  queued_bytes_ += head.size() + body.bytes.size();
+  pending_writes_.push_back({id, std::move(head), std::move(body), completed_counter});
   if (!connecting_ && pending_writes_.size() == 1) flush();
   return id;
 }
@@ -108,7 +113,7 @@
   const auto found = std::find_if(pending_writes_.begin(), pending_writes_.end(),
                                   [&](const PendingWrite& pending) { return pending.id == id; });
   if (found == pending_writes_.end()) return false;
-  queued_bytes_ -= found->bytes.size();
+  queued_bytes_ -= found->size();
   pending_writes_.erase(found);
   return true;
 }
@@ -156,12 +161,12 @@
   record.clear();
   while (!pending_writes_.empty() && record.size() < kMaxRecordSize) {
     PendingWrite& front = pending_writes_.front();
-    const std::size_t part = std::min(kMaxRecordSize - record.size(), front.bytes.size() - front_bytes_sent_);
-    record.append(front.bytes, front_bytes_sent_, part);
-    front_bytes_sent_ += part;
-    queued_bytes_ -= part;
+    const std::string_view part = front.part_at(front_bytes_sent_).substr(0, kMaxRecordSize - record.size());
+    record += part;
+    front_bytes_sent_ += part.size();
+    queued_bytes_ -= part.size();
     first_unstarted_write_ = front.id + 1;
-    if (front_bytes_sent_ < front.bytes.size()) break;
+    if (front_bytes_sent_ < front.size()) continue;
     if (front.completed_counter) secure_->completed_counters.push_back(front.completed_counter);
     pending_writes_.pop_front();
     front_bytes_sent_ = 0;
@@ -192,9 +197,9 @@
 void Stream::remove_sent(std::size_t bytes) {
   queued_bytes_ -= bytes;
   front_bytes_sent_ += bytes;
-  while (!pending_writes_.empty() && front_bytes_sent_ >= pending_writes_.front().bytes.size()) {
+  while (!pending_writes_.empty() && front_bytes_sent_ >= pending_writes_.front().size()) {
     PendingWrite& front = pending_writes_.front();
-    front_bytes_sent_ -= front.bytes.size();
+    front_bytes_sent_ -= front.size();
     first_unstarted_write_ = front.id + 1;
     if (front.completed_counter) ++*front.completed_counter;
     pending_writes_.pop_front();
@@ -205,13 +210,17 @@
 // Sends the first pending writes with one system call. Returns false if the kernel's buffer is full or the
 // stream has failed.
 bool Stream::send_pending() {
-  iovec parts[kWritesPerCall];
+  iovec parts[kPartsPerCall];
   std::size_t count = 0;
-  for (auto& pending : pending_writes_) {
-    if (count == kWritesPerCall) break;
-    const std::size_t skip = count == 0 ? front_bytes_sent_ : 0;
-    parts[count] = {pending.bytes.data() + skip, pending.bytes.size() - skip};
-    ++count;
+  std::size_t offset = front_bytes_sent_;
+  for (auto pending = pending_writes_.begin(); pending != pending_writes_.end() && count < kPartsPerCall;) {
+    const std::string_view part = pending->part_at(offset);
+    // The kernel doesn't change what it sends.
+    parts[count++] = {const_cast<char*>(part.data()), part.size()};
+    offset += part.size();
+    if (offset < pending->size()) continue;
+    ++pending;
+    offset = 0;
   }
   msghdr message{};
   message.msg_iov = parts;
@@ -250,8 +259,9 @@
   }
   if (closing_gracefully_) consumed = input_.size();
   input_.erase(0, consumed);
-  // Releases the memory of a large message.
-  if (input_.empty() && input_.capacity() > 2 * kInputBufferSize) input_.shrink_to_fit();
+  // Releases the memory of a large message, also if a part of the next one has followed it.
+  const bool is_large_unused = input_.capacity() > 2 * kInputBufferSize && input_.size() <= kInputBufferSize;
+  if (consumed > 0 && is_large_unused) input_.shrink_to_fit();
 }
 
 void Stream::handle_received_bytes(std::string_view bytes) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "net/event_loop.h"
@@ -16,6 +17,12 @@
 
 namespace rookproxy {
 
+// Bytes that are written without being copied. The owner keeps them alive and unchanged.
+struct SharedBytes {
+  std::shared_ptr<const void> owner;
+  std::string_view bytes;
+};
+
 // Receives the events of a stream on the event loop's thread. It may close the stream or write to it in any
 // call, but must not destroy it.
 class StreamHandler {
@@ -56,7 +63,11 @@
 
   // Queues the bytes. `completed_counter`, if not null, is incremented once the kernel has accepted the last
   // byte; it must live until then.
-  WriteId write(std::string bytes, std::uint64_t* completed_counter = nullptr);
+  WriteId write(std::string bytes, std::uint64_t* completed_counter = nullptr) {
+    return write(std::move(bytes), {}, completed_counter);
+  }
+  // Queues the bytes of `head` and `body` as one write.
+  WriteId write(std::string head, SharedBytes body, std::uint64_t* completed_counter = nullptr);
   // Cancels a write of which no byte was sent. Returns false if it has started or is unknown.
   bool cancel_write(WriteId id);
   // Returns true once a byte of the write was passed to the kernel or to the channel: the peer may have
@@ -84,6 +95,9 @@
   void read_now();
   // Pauses or resumes reading. While reading is paused, the peer's data stays in the kernel's buffer.
   void set_read_paused(bool paused);
+  // Makes room for `bytes` unconsumed bytes, so that the buffer takes no more than that. Invalidates the view
+  // that was passed to the handler.
+  void reserve_input(std::size_t bytes) { input_.reserve(bytes); }
   // Passes the remaining bytes in the buffer to the handler again in the next iteration.
   void schedule_read();
 
@@ -98,8 +112,13 @@
   // Queued bytes, and the counter to increment once the kernel has accepted them.
   struct PendingWrite {
     WriteId id;
-    std::string bytes;
+    std::string head;
+    SharedBytes body;
     std::uint64_t* completed_counter;
+
+    [[nodiscard]] std::size_t size() const { return head.size() + body.bytes.size(); }
+    // Returns the part of the bytes that begins at `offset` and is contiguous in memory.
+    [[nodiscard]] std::string_view part_at(std::size_t offset) const;
   };
   // The state of the channel, which exists only if there is one.
   struct SecureState {
--- a/src/policy/memory_ledger.cpp
+++ b/src/policy/memory_ledger.cpp
@@ -1,50 +1,70 @@
 #include "policy/memory_ledger.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <utility>
 
 namespace rookproxy::policy {
 namespace {
 
-constexpr std::size_t kPartialCommandsDivisor = 8;
-constexpr std::size_t kStatementsDivisor = 4;
-constexpr std::size_t kPreparedStatementsDivisor = 8;
-constexpr std::size_t kEngineStatementsDivisor = 32;
-constexpr std::size_t kEngineResultsDivisor = 4;
-constexpr std::size_t kUnreadResponsesDivisor = 8;
+// The part of the memory that a use may take, and whether a quarter of that is for small holdings alone.
+struct Share {
+  MemoryUse use;
+  std::size_t divisor;
+  bool has_reserve;
+};
+
+constexpr std::array<Share, 8> kShares{{{MemoryUse::kPartialCommands, 8, false},
+                                        {MemoryUse::kTokenChecks, 8, false},
+                                        {MemoryUse::kTurnWaits, 16, false},
+                                        {MemoryUse::kStatements, 4, true},
+                                        {MemoryUse::kPreparedStatements, 8, true},
+                                        {MemoryUse::kEngineStatements, 32, true},
+                                        {MemoryUse::kEngineResults, 4, true},
+                                        {MemoryUse::kUnreadResponses, 8, false}}};
 // The rest is for the process itself, for buffers of connections and for what the allocator keeps.
 constexpr std::size_t kTotalEighths = 5;
 
-// What large holdings may use of a limit.
-constexpr std::size_t limit_of_large_holdings(std::size_t limit) { return limit - limit / 4; }
+constexpr bool has_reserve(MemoryUse use) {
+  return std::any_of(kShares.begin(), kShares.end(),
+                     [use](const Share& share) { return share.use == use && share.has_reserve; });
+}
+
+constexpr std::size_t without_reserve(std::size_t limit) { return limit - limit / 4; }
 
 }  // namespace
 
 MemoryLedger::MemoryLedger() {
-  for (Account& account : accounts_) account.limit = std::numeric_limits<std::size_t>::max();
-  total_.limit = std::numeric_limits<std::size_t>::max();
+  constexpr std::size_t kUnlimited = std::numeric_limits<std::size_t>::max();
+  for (Account& account : accounts_) account = {0, kUnlimited, kUnlimited};
+  total_ = {0, kUnlimited, kUnlimited};
 }
 
 void MemoryLedger::apply_limits(std::size_t memory_bytes, std::size_t process_count) {
-  const std::size_t share = memory_bytes / process_count;
-  set_limit(MemoryUse::kPartialCommands, share / kPartialCommandsDivisor);
-  set_limit(MemoryUse::kStatements, share / kStatementsDivisor);
-  set_limit(MemoryUse::kPreparedStatements, share / kPreparedStatementsDivisor);
-  set_limit(MemoryUse::kEngineStatements, share / kEngineStatementsDivisor);
-  set_limit(MemoryUse::kEngineResults, share / kEngineResultsDivisor);
-  set_limit(MemoryUse::kUnreadResponses, share / kUnreadResponsesDivisor);
-  set_total_limit(share / 8 * kTotalEighths);
+  const std::size_t memory = memory_bytes / process_count;
+  for (const Share& share : kShares) set_limit(share.use, memory / share.divisor);
+  set_total_limit(memory / 8 * kTotalEighths);
+}
+
+void MemoryLedger::set_limit(MemoryUse use, std::size_t bytes) {
+  account(use).limit = bytes;
+  account(use).limit_of_large_holdings = has_reserve(use) ? without_reserve(bytes) : bytes;
+}
+
+void MemoryLedger::set_total_limit(std::size_t bytes) {
+  total_.limit = bytes;
+  total_.limit_of_large_holdings = without_reserve(bytes);
 }
 
-bool MemoryLedger::has_room(const Account& account, std::size_t bytes, bool is_small) {
-  const std::size_t limit = is_small ? account.limit : limit_of_large_holdings(account.limit);
-  return account.held <= limit && bytes <= limit - account.held;
+bool MemoryLedger::Account::has_room_for(std::size_t bytes, bool is_small) const {
+  const std::size_t allowed = is_small ? limit : limit_of_large_holdings;
+  return held <= allowed && bytes <= allowed - held;
 }
 
 bool MemoryLedger::try_hold(MemoryUse use, std::size_t holding, std::size_t bytes) {
   const bool is_small = bytes <= kSmallHolding && holding <= kSmallHolding - bytes;
-  if (!has_room(account(use), bytes, is_small) || !has_room(total_, bytes, is_small)) return false;
+  if (!account(use).has_room_for(bytes, is_small) || !total_.has_room_for(bytes, is_small)) return false;
   hold(use, bytes);
   return true;
 }
--- a/src/policy/memory_ledger.h
+++ b/src/policy/memory_ledger.h
@@ -2,6 +2,8 @@
 //
 //   use                     held                                                         share of the memory
 //   partial commands        commands and frames of clients that are still incomplete     an eighth
+//   token checks            requests whose callers' tokens are being checked              an eighth
+//   turn waits              requests whose statements wait to be read                     a sixteenth
 //   statements              statements and parameters until the last engine has them     a quarter
 //   prepared statements     texts and long data of clients' prepared statements          an eighth
 //   engine statements       texts of the statements prepared in sessions with engines    a thirty-second
@@ -9,8 +11,8 @@
 //   unread responses        responses that clients have not read                         an eighth
 //   all of them together                                                                 five eighths
 //
-// A holder with more than kSmallHolding bytes may use only three quarters of a limit, so that a few large
-// holdings leave no other client without.
+// Where small holdings count as well as large ones, a holder with more than kSmallHolding bytes may use only
+// three quarters of the limit, so that a few large holdings leave no other client without.
 #pragma once
 
 #include <array>
@@ -22,6 +24,8 @@
 // What bytes are held for. Each use has a limit of its own.
 enum class MemoryUse {
   kPartialCommands,
+  kTokenChecks,
+  kTurnWaits,
   kStatements,
   kPreparedStatements,
   kEngineStatements,
@@ -39,8 +43,8 @@
 
   // Sets the limits for one of `process_count` processes that share the memory. What is held stays.
   void apply_limits(std::size_t memory_bytes, std::size_t process_count);
-  void set_limit(MemoryUse use, std::size_t bytes) { account(use).limit = bytes; }
-  void set_total_limit(std::size_t bytes) { total_.limit = bytes; }
+  void set_limit(MemoryUse use, std::size_t bytes);
+  void set_total_limit(std::size_t bytes);
 
   // Adds `bytes` to a holding of `holding` bytes, or returns false if they must not be taken.
   [[nodiscard]] bool try_hold(MemoryUse use, std::size_t holding, std::size_t bytes);
@@ -58,10 +62,13 @@
   struct Account {
     std::size_t held = 0;
     std::size_t limit = 0;
+    // The largest amount up to which a large holding may be added.
+    std::size_t limit_of_large_holdings = 0;
+
+    [[nodiscard]] bool has_room_for(std::size_t bytes, bool is_small) const;
   };
-  static constexpr std::size_t kUseCount = 6;
+  static constexpr std::size_t kUseCount = 8;
 
-  [[nodiscard]] static bool has_room(const Account& account, std::size_t bytes, bool is_small);
   Account& account(MemoryUse use) { return accounts_[static_cast<std::size_t>(use)]; }
   [[nodiscard]] const Account& account(MemoryUse use) const {
     return accounts_[static_cast<std::size_t>(use)];
--- a/src/upstream/mysql_connection.cpp
+++ b/src/upstream/mysql_connection.cpp
@@ -20,6 +20,8 @@
 static_assert(kMaxKeptStart >= kMaxFirstPayloadSize &&
               kMaxFirstPayloadSize >= mysql::ResponseTracker::kExaminedBytes);
 constexpr std::size_t kNonceSize = 20;
+// Bytes of a query are written without being copied from this size on.
+constexpr std::size_t kMinSharedBytes = 16 * 1024;
 // First bytes of packets, during the login and in responses.
 constexpr char kOkPacket = '\x00';
 constexpr char kAuthMoreData = '\x01';
@@ -36,12 +38,6 @@
   return bytes;
 }
 
-std::string command_payload(std::uint8_t code, std::string_view arguments) {
-  std::string payload(1, static_cast<char>(code));
-  payload += arguments;
-  return payload;
-}
-
 }  // namespace
 
 MysqlConnection::MysqlConnection(MysqlPool& pool, SlotKey key, EngineId engine)
@@ -92,12 +88,31 @@
   return stream().write(mysql::split_into_packets(payload, sequence_), completed_counter);
 }
 
-void MysqlConnection::send_without_response(std::uint8_t code, std::string_view arguments) {
+Stream::WriteId MysqlConnection::write_command(std::uint8_t code, const CommandArguments& arguments,
+                                               std::uint64_t* completed_counter) {
   sequence_ = 0;
-  send_payload(command_payload(code, arguments));
+  const std::size_t size = sizeof code + arguments.prefix.size() + arguments.query_bytes.size();
+  std::string head;
+  if (arguments.query_bytes.size() < kMinSharedBytes || size >= mysql::kMaxPayloadSize) {
+    head.reserve(size);
+    head += static_cast<char>(code);
+    head += arguments.prefix;
+    head += arguments.query_bytes;
+    return send_payload(head, completed_counter);
+  }
+  mysql::append_integer(head, size, 3);
+  head += static_cast<char>(sequence_++);
+  head += static_cast<char>(code);
+  head += arguments.prefix;
+  return stream().write(std::move(head), {attempt_->query, arguments.query_bytes}, completed_counter);
+}
+
+void MysqlConnection::send_without_response(std::uint8_t code, const CommandArguments& arguments) {
+  write_command(code, arguments, nullptr);
 }
 
-void MysqlConnection::send_command(SessionCommand command, std::uint8_t code, std::string_view arguments) {
+void MysqlConnection::send_command(SessionCommand command, std::uint8_t code,
+                                   const CommandArguments& arguments) {
   using Kind = mysql::ResponseTracker::Kind;
   session_.on_command_sent(command);
   sequence_ = 0;
@@ -107,7 +122,7 @@
   // Only the command that runs the statement counts as the attempt; preceding commands don't.
   const bool executes = command == SessionCommand::kExecute;
   const Stream::WriteId write =
-      send_payload(command_payload(code, arguments), executes ? attempts_written_counter() : nullptr);
+      write_command(code, arguments, executes ? attempts_written_counter() : nullptr);
   if (executes) execute_write_ = write;
 }
 
@@ -141,20 +156,21 @@
   const std::optional<SessionCommand> command = session_.next_command(prepared_id.has_value());
   if (!command) return;
   if (*command == SessionCommand::kKill) {
-    return send_command(*command, mysql::kQuery, "KILL QUERY " + std::to_string(kill_target_));
+    const std::string statement = "KILL QUERY " + std::to_string(kill_target_);
+    return send_command(*command, mysql::kQuery, {statement, ""});
   }
-  if (*command == SessionCommand::kPing) return send_command(*command, mysql::kPing, "");
+  if (*command == SessionCommand::kPing) return send_command(*command, mysql::kPing, {});
   if (check_start_allowed()) send_attempt_command(*command, prepared_id);
 }
 
 void MysqlConnection::send_attempt_command(SessionCommand command, std::optional<std::uint32_t> prepared_id) {
   const Query& query = *attempt_->query;
   if (command == SessionCommand::kSelectSchema) {
-    return send_command(command, mysql::kInitDb, required_schema(query));
+    return send_command(command, mysql::kInitDb, {required_schema(query), ""});
   }
   if (command == SessionCommand::kExecute) return send_execution(prepared_id);
   close_statements(prepared_statements_.evict(statement_key(query)));
-  send_command(command, mysql::kStmtPrepare, query.statement);
+  send_command(command, mysql::kStmtPrepare, {"", query.statement});
 }
 
 void MysqlConnection::send_execution(std::optional<std::uint32_t> prepared_id) {
@@ -162,20 +178,17 @@
   if (!prepared_id) {
     const bool uses_schema = query.kind == Query::Kind::kUseSchema;
     return send_command(SessionCommand::kExecute, uses_schema ? mysql::kInitDb : mysql::kQuery,
-                        query.statement);
+                        {"", query.statement});
   }
   const std::string id_bytes = little_endian(*prepared_id, 4);
   for (const auto& [parameter, data] : query.long_data) {
-    std::string arguments = id_bytes;
-    arguments += little_endian(parameter, 2);
-    arguments += data;
-    send_without_response(mysql::kStmtSendLongData, arguments);
+    send_without_response(mysql::kStmtSendLongData, {id_bytes + little_endian(parameter, 2), data});
   }
-  send_command(SessionCommand::kExecute, mysql::kStmtExecute, id_bytes + query.parameters);
+  send_command(SessionCommand::kExecute, mysql::kStmtExecute, {id_bytes, query.parameters});
 }
 
 void MysqlConnection::close_statements(const std::vector<std::uint32_t>& ids) {
-  for (const std::uint32_t id : ids) send_without_response(mysql::kStmtClose, little_endian(id, 4));
+  for (const std::uint32_t id : ids) send_without_response(mysql::kStmtClose, {little_endian(id, 4), ""});
 }
 
 bool MysqlConnection::cancel_attempt(AttemptKey attempt) {
--- a/src/upstream/mysql_connection.h
+++ b/src/upstream/mysql_connection.h
@@ -44,8 +44,16 @@
   void on_connection_lost(std::string_view reason) override;
   bool can_accept(const Query* query) const override;
 
-  void send_command(policy::SessionCommand command, std::uint8_t code, std::string_view arguments);
-  void send_without_response(std::uint8_t code, std::string_view arguments);
+  // What follows a command's code: a few bytes, and bytes of the attempt's query, which may be many.
+  struct CommandArguments {
+    std::string_view prefix;
+    std::string_view query_bytes;
+  };
+
+  void send_command(policy::SessionCommand command, std::uint8_t code, const CommandArguments& arguments);
+  void send_without_response(std::uint8_t code, const CommandArguments& arguments);
+  Stream::WriteId write_command(std::uint8_t code, const CommandArguments& arguments,
+                                std::uint64_t* completed_counter);
   Stream::WriteId send_payload(std::string_view payload, std::uint64_t* completed_counter = nullptr);
 
   void handle_login_packet(std::string_view payload);
--- a/tests/dispatcher/dispatcher_test.cpp
+++ b/tests/dispatcher/dispatcher_test.cpp
@@ -41,7 +41,7 @@
 struct DispatcherFixture final : ResponseHandler, EngineTransport {
   explicit DispatcherFixture(const routing::Settings& settings = example_settings())
       : log(log_text, LogLevel::kDebug, "h", "a"),
-        dispatcher(loop, log, metrics, settings, {"addis-dc1"}, {}) {
+        dispatcher(loop, log, metrics, settings, {"addis-dc1"}, {}, memory) {
     dispatcher.set_transport(*this);
     loop.on_iteration_end([this] { dispatcher.process_events(); });
   }
@@ -98,6 +98,7 @@
   EventLoop loop;
   Logger log;
   Metrics metrics;
+  std::shared_ptr<policy::MemoryLedger> memory = std::make_shared<policy::MemoryLedger>();
   Dispatcher dispatcher;
   std::uint64_t submitted = 0;
   bool attempts_are_unsent = false;
@@ -188,6 +189,7 @@
 
 TEST_CASE("dispatcher: a request beyond the buffer limit is rejected with a retry time and never sent") {
   DispatcherFixture fixture;
+  fixture.memory->set_limit(policy::MemoryUse::kStatements, 32u << 20);
   fixture.update_endpoints({make_endpoint("a", kServingState)});
   auto query = std::make_shared<Query>();
   query->statement.assign(64u << 20, 'x');
@@ -201,6 +203,29 @@
   CHECK(fixture.attempts.empty());
 }
 
+TEST_CASE("dispatcher: a statement is counted until the last connection to an engine has let go of it") {
+  // Guards against statements of clients that have left, which engine connections go on sending uncounted.
+  DispatcherFixture fixture;
+  fixture.update_endpoints({make_endpoint("a", kServingState)});
+  IncomingRequest incoming;
+  incoming.query = std::make_shared<Query>();
+  incoming.query->statement.assign(1000, 'x');
+  incoming.query->parameters.assign(20, 'p');
+  incoming.deadline = fixture.loop.now() + 3s;
+  const RequestKey key = fixture.submit(incoming);
+  incoming.query.reset();
+  REQUIRE(fixture.run_until([&] { return fixture.attempts.size() == 1; }));
+  const auto held = [&] { return fixture.memory->held(policy::MemoryUse::kStatements); };
+  CHECK(held() == 1020);
+  fixture.dispatcher.cancel_request(key);
+  fixture.dispatcher.process_events();
+  fixture.end_attempt(fixture.attempts[0].key, Outcome::kServed);
+  REQUIRE(fixture.run_until([&] { return fixture.dispatcher.open_request_count() == 0; }));
+  CHECK(held() == 1020);
+  fixture.attempts.clear();
+  CHECK(held() == 0);
+}
+
 TEST_CASE("dispatcher: open requests keep their class settings, and unused class indexes are reused") {
   // Guards against running a write twice after a settings change, and against a class table that grows with
   // each reload.
--- a/tests/integration/connection_close_test.cpp
+++ b/tests/integration/connection_close_test.cpp
@@ -338,10 +338,9 @@
 
 TEST_CASE("frames: data behind a protocol error uses bounded memory and is released with its clients") {
   // Guards against a buffer for each connection with a protocol error, which lasts as long as a request is
-  // open on it. All incomplete large frames share max_partial_frame_bytes, on valid and broken connections.
-  FramesFrontend::Limits limits;
-  limits.max_partial_frame_bytes = 1u << 20;
-  FrontendFixture fixture(limits);
+  // open on it. All incomplete large frames share a limit, on valid and broken connections.
+  FrontendFixture fixture;
+  fixture.memory->set_limit(policy::MemoryUse::kPartialCommands, 1u << 20);
   std::vector<TestConnection> flooding_clients;
   const std::string large = frames::encode_frame(frames::kRequest, 9, std::string(260'000, 'x'));
   const std::size_t before = heap_bytes();
@@ -364,9 +363,30 @@
   CHECK(fixture.loop_thread.until([&] { return fixture.dispatcher.open_request_count() == 0; }));
 }
 
+TEST_CASE("mysql: the input of a long command is released although the next command has begun") {
+  // Guards against 4 MB for each client that sends a long command and a part of another one.
+  constexpr int kClients = 16;
+  FrontendFixture fixture;
+  fixture.memory->set_limit(policy::MemoryUse::kStatements, 1u << 20);
+  const std::string long_statement = "SELECT '" + std::string(4'000'000, 'x') + "'";
+  std::vector<TestConnection> clients;
+  for (int number = 0; number < kClients; ++number) clients.push_back(fixture.mysql_client());
+  const std::size_t before = heap_bytes();
+  for (TestConnection& client : clients) {
+    client.send(FrontendFixture::query(long_statement) + std::string(3, '\x10'));
+    const auto message = read_mysql_message(client);
+    REQUIRE(message);
+    CHECK(mysql::parse_error(message->payload).code == mysql::kServerNotAvailable);
+  }
+  CHECK(heap_bytes() - before < (8u << 20));  // 64 MB were sent
+}
+
 TEST_CASE("mysql: large incomplete commands share a budget, and before log-in only little is accepted") {
   FrontendFixture fixture;
-  fixture.loop_thread.run([&] { fixture.mysql->set_resource_limits(100, 1u << 20, 1u << 20); });
+  fixture.memory->set_limit(policy::MemoryUse::kPartialCommands, 1u << 20);
+  const auto is_receiving_large_command = [&] {
+    return fixture.memory->held(policy::MemoryUse::kPartialCommands) > 0;
+  };
   const auto begin = [](std::size_t length, std::uint8_t sequence) {
     std::string head;
     mysql::append_integer(head, length, 3);
@@ -383,13 +403,13 @@
   TestConnection first = fixture.mysql_client(), second = fixture.mysql_client(),
                  third = fixture.mysql_client();
   first.send(begin(900'000, 0));
-  CHECK(fixture.loop_thread.until([&] { return fixture.mysql->is_receiving_large_command(); }));
+  CHECK(fixture.loop_thread.until(is_receiving_large_command));
   second.send(begin(900'000, 0));
   CHECK(error_of(second) == mysql::kOutOfResources);
   third.send(FrontendFixture::query("SELECT 1"));  // small commands are accepted
   REQUIRE(fixture.wait_for_attempts(1));
   first.close();
-  CHECK(fixture.loop_thread.until([&] { return !fixture.mysql->is_receiving_large_command(); }));
+  CHECK(fixture.loop_thread.until([&] { return !is_receiving_large_command(); }));
   third.close();
   TestConnection fourth = fixture.mysql_client();
   fourth.send(FrontendFixture::query("SELECT '" + std::string(900'000, 'x') + "'"));
--- a/tests/integration/deployments_test.cpp
+++ b/tests/integration/deployments_test.cpp
@@ -435,8 +435,9 @@
     const linger reset_on_close{1, 0};
     ::setsockopt(engine->fd().get(), SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof reset_on_close);
     engine->close();
-    auto next = std::make_shared<Query>(*query);
+    auto next = std::make_shared<Query>();
     next->id = "2";
+    next->class_name = query->class_name;
     pool.send({{2, 0}, 0, next, loop.now() + 1s, {}, 1});
     loop.defer([&] {
       callbacks.closed = true;
--- a/tests/integration/statement_turns_test.cpp
+++ b/tests/integration/statement_turns_test.cpp
@@ -167,10 +167,10 @@
 
 TEST_CASE(
     "frames: long statements that wait for their turns have a limit of bytes, short ones still have room") {
-  FramesFrontend::Limits limits;
-  limits.max_partial_frame_bytes = 4 * kLongStatementBytes + 20'000;
   AccessFixture access;
-  FrontendFixture fixture(limits, access.settings());
+  FrontendFixture fixture({}, access.settings());
+  fixture.memory->set_limit(policy::MemoryUse::kTurnWaits, 2 * kLongStatementBytes + 10'000);
+  fixture.memory->set_limit(policy::MemoryUse::kTokenChecks, 2 * kLongStatementBytes + 10'000);
   hold_turns(fixture, kLongerThanTheTest);
   TestConnection client = fixture.client();
   for (std::uint32_t stream = 1; stream <= 3; ++stream) {
--- a/tests/net/stream_test.cpp
+++ b/tests/net/stream_test.cpp
@@ -2,6 +2,7 @@
 #include "net/stream.h"
 
 #include <catch2/catch.hpp>
+#include <memory>
 #include <string>
 
 #include "fakes/sockets.h"
@@ -9,6 +10,7 @@
 #include "net/event_loop.h"
 #include "net/file_descriptor.h"
 #include "net/sockets.h"
+#include "support/run_until.h"
 
 using namespace rookproxy;
 using namespace std::chrono_literals;
@@ -52,6 +54,42 @@
   CHECK(peer.take(6) == "second");
 }
 
+TEST_CASE("stream: shared bytes are sent behind their head, and their owner is kept until then") {
+  // Guards against a write whose bytes are gone or mixed up when the kernel takes them in parts.
+  constexpr std::size_t kSharedSize = 8u << 20;  // More than the kernel's buffers hold.
+  EventLoop loop;
+  FileDescriptor listener = test::listen_on_free_port();
+  ReadingHandler handler;
+  Stream stream(loop, connect_tcp({0x7f000001, local_port(listener)}), handler, true, kInputLimit);
+  auto owner = std::make_shared<std::string>();
+  while (owner->size() < kSharedSize) *owner += "row" + std::to_string(owner->size()) + "\n";
+  const std::string expected = "before,head:" + *owner + "after";
+  std::uint64_t completed = 0;
+  stream.write("before,");
+  const auto cancelled = stream.write("cancelled", {owner, *owner});
+  const auto shared = stream.write("head:", {owner, *owner}, &completed);
+  stream.write("after");
+  CHECK(stream.cancel_write(cancelled));
+  CHECK(stream.queued_bytes() == expected.size());
+  const std::weak_ptr<std::string> watched = owner;
+  owner.reset();
+
+  loop.run_at(loop.now() + 50ms, [&] { loop.stop(); });
+  loop.run();
+  CHECK(stream.has_write_started(shared));
+  CHECK(stream.queued_bytes() > 0);
+  CHECK_FALSE(watched.expired());
+  test::TestConnection peer(accept_connection(listener));
+  const auto read_all = [&] {
+    while (peer.buffer().size() < expected.size() && peer.read_more(1ms)) continue;
+    return peer.buffer().size() >= expected.size();
+  };
+  REQUIRE(test::run_until(loop, read_all));
+  CHECK(peer.buffer() == expected);
+  CHECK(completed == 1);
+  CHECK(watched.expired());
+}
+
 TEST_CASE("stream: a message larger than the input buffer closes the stream") {
   UnreadingHandler handler;
   EventLoop loop;
--- a/tests/policy/memory_ledger_test.cpp
+++ b/tests/policy/memory_ledger_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <cstddef>
 #include <memory>
+#include <numeric>
 #include <set>
 #include <string>
 #include <utility>
@@ -25,6 +26,8 @@
   CHECK(ledger.limit(MemoryUse::kEngineResults) == std::size_t{48} << 20);
   CHECK(ledger.limit(MemoryUse::kStatements) == std::size_t{48} << 20);
   CHECK(ledger.limit(MemoryUse::kPartialCommands) == std::size_t{24} << 20);
+  CHECK(ledger.limit(MemoryUse::kTokenChecks) == std::size_t{24} << 20);
+  CHECK(ledger.limit(MemoryUse::kTurnWaits) == std::size_t{12} << 20);
   CHECK(ledger.limit(MemoryUse::kUnreadResponses) == std::size_t{24} << 20);
   CHECK(ledger.total_limit() == std::size_t{120} << 20);
   ledger.apply_limits(std::size_t{192} << 20, 2);
@@ -45,6 +48,37 @@
   CHECK_FALSE(holdings.front().try_add(1));
 }
 
+TEST_CASE("memory ledger: all uses together have a limit below the sum of theirs") {
+  // Guards against budgets of which each is kept and which together are more than the memory.
+  const auto ledger = std::make_shared<MemoryLedger>();
+  ledger->apply_limits(32 * kLarge, 1);
+  REQUIRE(ledger->total_limit() == 20 * kLarge);
+  MemoryHolding statements(ledger, MemoryUse::kStatements);
+  MemoryHolding results(ledger, MemoryUse::kEngineResults);
+  MemoryHolding frames(ledger, MemoryUse::kPartialCommands);
+  CHECK(statements.try_add(6 * kLarge));
+  CHECK(results.try_add(6 * kLarge));
+  CHECK_FALSE(frames.try_add(4 * kLarge));
+  CHECK(frames.try_add(3 * kLarge));
+  MemoryHolding small(ledger, MemoryUse::kPreparedStatements);
+  CHECK(small.try_add(1000));
+  CHECK(ledger->total_held() == 15 * kLarge + 1000);
+}
+
+TEST_CASE("memory ledger: bytes that can't be refused count beyond the limits, and leave less to others") {
+  const auto ledger = std::make_shared<MemoryLedger>();
+  ledger->set_limit(MemoryUse::kUnreadResponses, kLarge);
+  ledger->set_total_limit(4 * kLarge);
+  MemoryHolding unread(ledger, MemoryUse::kUnreadResponses);
+  unread.set(3 * kLarge);
+  CHECK(ledger->is_exceeded(MemoryUse::kUnreadResponses));
+  MemoryHolding statements(ledger, MemoryUse::kStatements);
+  CHECK_FALSE(statements.try_add(kLarge));
+  unread.set(kLarge);
+  CHECK_FALSE(ledger->is_exceeded(MemoryUse::kUnreadResponses));
+  CHECK(statements.try_add(kLarge));
+}
+
 TEST_CASE("memory ledger: amounts near the largest number are refused, not wrapped around") {
   const auto ledger = std::make_shared<MemoryLedger>();
   ledger->set_limit(MemoryUse::kEngineResults, 1000);
@@ -62,9 +96,10 @@
 constexpr std::array<std::size_t, 2> kAmounts{kLarge / 2, kLarge};
 constexpr std::size_t kFullLimit = 4 * kLarge;
 constexpr std::size_t kHalfLimit = 2 * kLarge;
+constexpr std::size_t kTotalLimit = 6 * kLarge;
 
 struct Step {
-  enum class Kind { kAdd, kRemove, kRelease, kMove, kChangeLimit };
+  enum class Kind { kAdd, kSet, kRemove, kRelease, kMove, kChangeLimit };
   Kind kind = Kind::kAdd;
   std::size_t owner = 0;
   std::size_t amount = 0;
@@ -80,6 +115,7 @@
 
   Played() {
     for (const MemoryUse use : kUses) ledger->set_limit(use, limit);
+    ledger->set_total_limit(kTotalLimit);
     for (std::size_t owner = 0; owner < kOwners; ++owner) holdings.emplace_back(ledger, use_of(owner));
   }
   static MemoryUse use_of(std::size_t owner) { return kUses[owner % kUses.size()]; }
@@ -89,6 +125,10 @@
     return sum;
   }
 
+  [[nodiscard]] std::size_t sum_of_all() const {
+    return std::accumulate(expected.begin(), expected.end(), std::size_t{0});
+  }
+
   void play(const Step& step) {
     const MemoryUse use = use_of(step.owner);
     const std::size_t before = sum_of(use);
@@ -96,12 +136,19 @@
     switch (step.kind) {
       case Step::Kind::kAdd: {
         const bool is_small = bytes + step.amount <= MemoryLedger::kSmallHolding;
-        const bool fits = before + step.amount <= (is_small ? limit : limit / 4 * 3);
+        const auto fits_in = [&](std::size_t held, std::size_t full) {
+          return held + step.amount <= (is_small ? full : full / 4 * 3);
+        };
+        const bool fits = fits_in(before, limit) && fits_in(sum_of_all(), kTotalLimit);
         const bool is_taken = holdings[step.owner].try_add(step.amount);
         is_rule_broken |= is_taken != fits;
         if (is_taken) bytes += step.amount;
         break;
       }
+      case Step::Kind::kSet:
+        holdings[step.owner].set(step.amount);
+        bytes = step.amount;
+        break;
       case Step::Kind::kRemove:
         holdings[step.owner].remove(step.amount);
         bytes -= std::min(bytes, step.amount);
@@ -123,6 +170,7 @@
         break;
     }
     for (const MemoryUse checked : kUses) is_rule_broken |= ledger->held(checked) != sum_of(checked);
+    is_rule_broken |= ledger->total_held() != sum_of_all();
     for (std::size_t owner = 0; owner < kOwners; ++owner) {
       is_rule_broken |= holdings[owner].bytes() != expected[owner];
     }
@@ -139,6 +187,7 @@
   for (std::size_t owner = 0; owner < kOwners; ++owner) {
     for (const std::size_t amount : kAmounts) {
       steps.push_back({Step::Kind::kAdd, owner, amount});
+      steps.push_back({Step::Kind::kSet, owner, amount});
       steps.push_back({Step::Kind::kRemove, owner, amount});
     }
     steps.push_back({Step::Kind::kRelease, owner, 0});
--- a/tests/support/dispatcher_process.cpp
+++ b/tests/support/dispatcher_process.cpp
@@ -125,6 +125,16 @@
 
 void DispatcherProcess::send_signal(int number) const { ::kill(pid_, number); }
 
+std::size_t DispatcherProcess::anonymous_memory() const {
+  constexpr std::size_t kBytesPerKilobyte = 1024;
+  std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string word; file >> word;) {
+    std::size_t kilobytes = 0;
+    if (word == "RssAnon:" && file >> kilobytes) return kilobytes * kBytesPerKilobyte;
+  }
+  return 0;
+}
+
 int DispatcherProcess::wait_for_exit() {
   int status = 0;
   const auto deadline = steady_clock::now() + kWaitLimit;
--- a/tests/support/dispatcher_process.h
+++ b/tests/support/dispatcher_process.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -52,6 +53,9 @@
 
   void send_signal(int number) const;
 
+  // Returns the anonymous memory of the process, in bytes; 0 once it has ended.
+  [[nodiscard]] std::size_t anonymous_memory() const;
+
   // Waits until the process has ended, and returns its exit code, or 128 plus the number of the signal that
   // killed it.
   int wait_for_exit();
--- a/tests/support/frontend_fixture.h
+++ b/tests/support/frontend_fixture.h
@@ -35,7 +35,7 @@
   explicit FrontendFixture(FramesFrontend::Limits limits = {},
                            const std::optional<auth::AuthSettings>& access = std::nullopt)
       : log(text, LogLevel::kDebug, "h", "a"),
-        dispatcher(loop_thread.loop, log, metrics, read_config(read_json()).settings, {"z"}, {}) {
+        dispatcher(loop_thread.loop, log, metrics, read_config(read_json()).settings, {"z"}, {}, memory) {
     loop_thread.run([&] {
       dispatcher.set_transport(*this);
       loop_thread.on_iteration_end = [this] { dispatcher.process_events(); };
@@ -47,8 +47,9 @@
         authenticator =
             std::make_unique<auth::Authenticator>(loop_thread.loop, log, metrics.auth, *access, 1);
       }
-      frames = std::make_unique<FramesFrontend>(loop_thread.loop, log, dispatcher, turns,
-                                                listen_on_free_port(), limits, authenticator.get());
+      frames =
+          std::make_unique<FramesFrontend>(loop_thread.loop, log, dispatcher, turns, listen_on_free_port(),
+                                           limits, authenticator.get(), nullptr, memory);
       frames->set_accepting(true);
       MysqlFrontendConfig config;
       config.users = {{"school", "secret"}};
@@ -127,9 +128,9 @@
   EventLoopThread loop_thread;
   Logger log;
   Metrics metrics;
+  std::shared_ptr<policy::MemoryLedger> memory = std::make_shared<policy::MemoryLedger>();
   Dispatcher dispatcher;
   TurnScheduler turns{loop_thread.loop};
-  std::shared_ptr<policy::MemoryLedger> memory = std::make_shared<policy::MemoryLedger>();
   // Null if callers are not identified.
   std::unique_ptr<auth::Authenticator> authenticator;
   std::unique_ptr<FramesFrontend> frames;
--- a/tests/upstream/line_protocol_test.cpp
+++ b/tests/upstream/line_protocol_test.cpp
@@ -43,18 +43,17 @@
 }
 
 TEST_CASE("line protocol: a request carries its options, clamped to the protocol's ranges") {
-  Query query;
-  query.id = "9b1f";
-  query.class_name = "lookup";
-  query.statement = "SELECT 1";
+  const auto query = std::make_shared<Query>();
+  query->id = "9b1f";
+  query->class_name = "lookup";
+  query->statement = "SELECT 1";
   AttemptRequest request;
   const Time now{};
   request.deadline = now + std::chrono::milliseconds(1500);
   request.priority = 7;
-  request.query = std::make_shared<const Query>(query);
+  request.query = query;
   CHECK(make_line_request(request, now) == "REQ 9b1f queue=lookup,budget=1500,rank=3 8\r\nSELECT 1\r\n");
-  query.idempotency_key = "k1";
-  request.query = std::make_shared<const Query>(query);
+  query->idempotency_key = "k1";
   request.memory_grant_mb = 63.6;
   request.priority = -1;
   request.deadline = now;
