Sessions with engines: a packet that arrived whole is kept in one step

Cause: for each packet the ledger was asked twice, for its header and for its payload, and a record of an incomplete packet was made even if it was complete. Each token of a statement was compared with names of variables, functions and locks whatever its kind. Change: a whole packet is asked for and kept at once; tokens are compared by their kind.

--- a/src/sql/statement_class.cpp
+++ b/src/sql/statement_class.cpp
@@ -88,21 +88,32 @@
   return is_any_word(name, names);
 }
 
+std::optional<std::string_view> state_of_variable(const TokenCursor& tokens) {
+  if (!tokens.peek().text.starts_with("@@")) return "user variables";
+  if (is_system_variable(tokens, kEarlierResultVariables)) return kEarlierResults;
+  return std::nullopt;
+}
+
+std::optional<std::string_view> state_of_function(const Token& name) {
+  if (is_any_word(name, kNamedLockFunctions)) return "named locks";
+  if (is_any_word(name, kEarlierResultFunctions)) return kEarlierResults;
+  return std::nullopt;
+}
+
+std::optional<std::string_view> state_of_word(const Token& token, const Token& next) {
+  if (is_word(token, "TEMPORARY")) return "temporary tables";
+  if (is_word(token, "FOR") && (is_word(next, "UPDATE") || is_word(next, "SHARE"))) return kRowLocks;
+  if (is_word(token, "LOCK") && is_word(next, "IN")) return kRowLocks;
+  return state_of_function(token);
+}
+
 // Returns the session state that the token at the cursor's position indicates.
 std::optional<std::string_view> state_at(const TokenCursor& tokens) {
   const Token& token = tokens.peek();
-  const Token& next = tokens.peek(1);
-  if (is_word(token, "TEMPORARY")) return "temporary tables";
   if (starts_second_statement(tokens)) return "several statements in one";
-  if (token.kind == Token::Kind::kVariable && !token.text.starts_with("@@")) return "user variables";
-  const bool is_called = tokens.has_mark('(', 1);
-  const Token function = is_called ? as_word(token) : token;
-  if (is_any_word(function, kNamedLockFunctions)) return "named locks";
-  if (is_any_word(function, kEarlierResultFunctions)) return kEarlierResults;
-  if (is_system_variable(tokens, kEarlierResultVariables)) return kEarlierResults;
-  if (is_word(token, "FOR") && (is_word(next, "UPDATE") || is_word(next, "SHARE"))) return kRowLocks;
-  if (is_word(token, "LOCK") && is_word(next, "IN")) return kRowLocks;
-  return std::nullopt;
+  if (token.kind == Token::Kind::kVariable) return state_of_variable(tokens);
+  if (token.kind == Token::Kind::kWord) return state_of_word(token, tokens.peek(1));
+  return tokens.has_mark('(', 1) ? state_of_function(as_word(token)) : std::nullopt;
 }
 
 }  // namespace
--- a/src/upstream/mysql_connection.cpp
+++ b/src/upstream/mysql_connection.cpp
@@ -269,29 +269,41 @@
   return bytes.size();
 }
 
-// Takes what has arrived of one packet, so that an incomplete packet is held only if its response is kept,
-// within the limits on results. Returns the number of bytes taken.
+// Takes a packet, or what has arrived of one, so that an incomplete packet is held only if its response is
+// kept, within the limits on results. Returns the number of bytes taken.
 std::size_t MysqlConnection::read_packet_part(std::string_view bytes) {
-  std::size_t taken = 0;
-  if (!packet_) {
-    taken = mysql::kHeaderSize;
-    begin_packet(bytes.substr(0, taken));
-    if (!packet_) return bytes.size();  // The connection was closed.
+  if (packet_) return read_rest_of_packet(bytes);
+  const std::optional<std::size_t> size = begin_packet(bytes.substr(0, mysql::kHeaderSize));
+  if (!size) return bytes.size();  // The connection was closed.
+  const std::string_view packet = bytes.substr(0, mysql::kHeaderSize + *size);
+  if (!keep_if_awaited(packet)) return bytes.size();
+  const std::string_view payload = packet.substr(mysql::kHeaderSize);
+  if (payload.size() == *size) {
+    end_packet(payload, payload.size());
+  } else {
+    packet_ = IncomingPacket{*size, *size - payload.size(), std::string(payload.substr(0, kMaxKeptStart))};
   }
-  const std::string_view part = bytes.substr(taken, packet_->missing_bytes);
-  taken += part.size();
+  return packet.size();
+}
+
+std::size_t MysqlConnection::read_rest_of_packet(std::string_view bytes) {
+  const std::string_view part = bytes.substr(0, packet_->missing_bytes);
+  if (!keep_if_awaited(part)) return bytes.size();
   packet_->missing_bytes -= part.size();
-  if (is_response_kept() && !response_.try_append(part)) {
-    reject_large_result();
-    fail_connection("result exceeds the limit of buffered bytes");
-    return taken;
-  }
-  const bool is_whole = part.size() == packet_->size;
-  if (!is_whole) packet_->start += part.substr(0, kMaxKeptStart - packet_->start.size());
-  if (packet_->missing_bytes > 0) return taken;
+  packet_->start += part.substr(0, kMaxKeptStart - packet_->start.size());
+  if (packet_->missing_bytes > 0) return part.size();
   const IncomingPacket packet = *std::exchange(packet_, std::nullopt);
-  end_packet(is_whole ? part : std::string_view(packet.start), packet.size);
-  return taken;
+  end_packet(packet.start, packet.size);
+  return part.size();
+}
+
+// Keeps the bytes if an attempt waits for them. Returns false after closing the connection if they are too
+// many.
+bool MysqlConnection::keep_if_awaited(std::string_view bytes) {
+  if (!is_response_kept() || response_.try_append(bytes)) return true;
+  reject_large_result();
+  fail_connection("result exceeds the limit of buffered bytes");
+  return false;
 }
 
 // An attempt may be assigned while the login or a ping still goes on; it waits for other responses.
@@ -299,8 +311,8 @@
   return login_state_ == LoginState::kComplete && attempt_.has_value();
 }
 
-// Leaves no packet if the connection had to be closed.
-void MysqlConnection::begin_packet(std::string_view header) {
+// Returns the size of the payload, or nothing if the connection had to be closed.
+std::optional<std::size_t> MysqlConnection::begin_packet(std::string_view header) {
   mysql::PayloadReader reader(header);
   const std::size_t size = reader.integer(3);
   const auto sequence = static_cast<std::uint8_t>(reader.integer(1));
@@ -309,17 +321,18 @@
     sequence_ = sequence;
   } else if (!session_.is_awaiting_response()) {
     // Servers send an unsolicited error when they close an idle session.
-    return fail_connection("unsolicited packet on an idle connection");
+    fail_connection("unsolicited packet on an idle connection");
+    return std::nullopt;
   }
   if (sequence != sequence_) throw mysql::MalformedPacketError("packets out of order");
   ++sequence_;
   // The stated size decides, so that no part of a packet is kept that would be rejected as a whole.
-  if (is_response_kept() &&
-      (!response_.has_room_for(header.size() + size) || !response_.try_append(header))) {
+  if (is_response_kept() && !response_.has_room_for(header.size() + size)) {
     reject_large_result();
-    return fail_connection("result exceeds the limit of buffered bytes");
+    fail_connection("result exceeds the limit of buffered bytes");
+    return std::nullopt;
   }
-  packet_ = IncomingPacket{size, size, ""};
+  return size;
 }
 
 void MysqlConnection::end_packet(std::string_view payload_start, std::size_t payload_size) {
--- a/src/upstream/mysql_connection.h
+++ b/src/upstream/mysql_connection.h
@@ -69,7 +69,9 @@
   void close_statements(const std::vector<std::uint32_t>& ids);
 
   [[nodiscard]] std::size_t read_packet_part(std::string_view bytes);
-  void begin_packet(std::string_view header);
+  [[nodiscard]] std::size_t read_rest_of_packet(std::string_view bytes);
+  [[nodiscard]] std::optional<std::size_t> begin_packet(std::string_view header);
+  [[nodiscard]] bool keep_if_awaited(std::string_view bytes);
   void end_packet(std::string_view payload_start, std::size_t payload_size);
   [[nodiscard]] bool is_response_kept() const;
   void reject_large_result();
@@ -102,7 +104,7 @@
   struct IncomingPacket {
     std::size_t size = 0;
     std::size_t missing_bytes = 0;
-    // The first bytes of its payload, unless the whole of it arrived at once.
+    // The first bytes of its payload.
     std::string start;
   };
   std::optional<IncomingPacket> packet_;
