Fix: long data was stored twice after an execution that was refused

Cause: long data ended with an execution that was carried out, not with one that the dispatcher refused itself. Change: policy::LongDataState, free of I/O, decides what is stored of long data and when it ends; a server drops it at the end of every execution.

--- a/src/frontend/mysql_connection_commands.cpp
+++ b/src/frontend/mysql_connection_commands.cpp
@@ -188,13 +188,17 @@
 void MysqlFrontend::Connection::reset_statement(PayloadReader& reader) {
   PreparedStatement* statement = find_statement(reader);
   if (!statement) return;
-  statement->clear_long_data();
+  statement->reset_long_data();
   ok();
 }
 
 void MysqlFrontend::Connection::execute(PayloadReader& reader) {
   PreparedStatement* statement = find_statement(reader);
-  if (!statement || needs_transaction(statement->facts)) return;
+  if (!statement) return;
+  if (needs_transaction(statement->facts)) {
+    (void)statement->end_long_data();
+    return;
+  }
   PreparedExecution execution = PreparedStatements::make_execution(*statement, reader);
   switch (execution.error) {
     case ExecutionError::kNone:
--- a/src/frontend/prepared_statements.cpp
+++ b/src/frontend/prepared_statements.cpp
@@ -6,8 +6,6 @@
 namespace rookproxy {
 namespace {
 
-// The maximum size of the long data for one execution.
-constexpr std::size_t kMaxLongDataBytes = 4u << 20;
 // What a statement and a parameter take beside their bytes.
 constexpr std::size_t kStatementOverheadBytes = 512;
 constexpr std::size_t kParameterOverheadBytes = 128;
@@ -29,14 +27,11 @@
   return memory.try_add(bytes);
 }
 
-// Bytes above the limit are counted but not stored, so that the execution can report the error.
 void PreparedStatement::append_long_data(std::uint16_t parameter, std::string_view data) {
-  long_data_bytes += data.size();
-  if (long_data_bytes > kMaxLongDataBytes) return drop_long_data();
-  if (is_long_data_refused) return;
+  if (!long_data_state.on_data(data.size())) return drop_long_data();
   const std::size_t overhead = long_data.contains(parameter) ? 0 : kParameterOverheadBytes;
   if (!memory.try_add(data.size() + overhead)) {
-    is_long_data_refused = true;
+    long_data_state.on_refused();
     return drop_long_data();
   }
   held_long_data_bytes += data.size() + overhead;
@@ -49,10 +44,15 @@
   memory.remove(std::exchange(held_long_data_bytes, 0));
 }
 
-void PreparedStatement::clear_long_data() {
+void PreparedStatement::reset_long_data() {
+  long_data_state.on_reset();
   drop_long_data();
-  long_data_bytes = 0;
-  is_long_data_refused = false;
+}
+
+policy::LongDataError PreparedStatement::end_long_data() {
+  const policy::LongDataError error = long_data_state.on_execution();
+  drop_long_data();
+  return error;
 }
 
 PreparedStatement* PreparedStatements::find(std::uint32_t id) {
@@ -78,10 +78,14 @@
 // execution may run on an engine that did not receive the earlier one.
 PreparedExecution PreparedStatements::make_execution(PreparedStatement& statement,
                                                      mysql::PayloadReader& reader) {
-  if (statement.long_data_bytes > kMaxLongDataBytes) return {ExecutionError::kLongDataTooLarge, nullptr};
-  if (statement.is_long_data_refused) {
-    statement.clear_long_data();
-    return {ExecutionError::kLongDataRefused, nullptr};
+  std::map<std::uint16_t, std::string> long_data = std::exchange(statement.long_data, {});
+  switch (statement.end_long_data()) {
+    case policy::LongDataError::kNone:
+      break;
+    case policy::LongDataError::kTooLarge:
+      return {ExecutionError::kLongDataTooLarge, nullptr};
+    case policy::LongDataError::kRefused:
+      return {ExecutionError::kLongDataRefused, nullptr};
   }
   const std::uint64_t flags = reader.integer(1);
   const std::uint64_t iterations = reader.integer(4);
@@ -104,10 +108,7 @@
   }
   auto query = std::make_shared<Query>();
   query->parameters = std::move(parameters);
-  for (auto& [parameter, data] : statement.long_data) {
-    query->long_data.emplace_back(parameter, std::move(data));
-  }
-  statement.clear_long_data();
+  for (auto& [parameter, data] : long_data) query->long_data.emplace_back(parameter, std::move(data));
   return {ExecutionError::kNone, std::move(query)};
 }
 
--- a/src/frontend/prepared_statements.h
+++ b/src/frontend/prepared_statements.h
@@ -13,6 +13,7 @@
 #include "dispatcher/request.h"
 #include "dispatcher/routing_time.h"
 #include "mysql/protocol.h"
+#include "policy/long_data_state.h"
 #include "policy/memory_ledger.h"
 #include "policy/statement_analysis.h"
 #include "sql/statement_facts.h"
@@ -21,6 +22,9 @@
 
 // A prepared statement and the long data for its next execution.
 struct PreparedStatement {
+  // The maximum size of the long data for one execution.
+  static constexpr std::size_t kMaxLongDataBytes = 4u << 20;
+
   std::string text;
   // The client's schema at the PREPARE, in which it is executed whatever the client has selected since.
   std::string schema;
@@ -33,10 +37,8 @@
   std::string parameter_types;
   // The long data by parameter number.
   std::map<std::uint16_t, std::string> long_data;
-  // The number of received bytes, including those that exceeded the limit and were not stored.
-  std::size_t long_data_bytes = 0;
-  // True if long data was not stored because memory is short. The other long data is dropped as well.
-  bool is_long_data_refused = false;
+  // Decides what is stored of the long data, and for how long.
+  policy::LongDataState long_data_state{kMaxLongDataBytes};
   // What the statement and its long data hold.
   policy::MemoryHolding memory;
   // The part of `memory` that is for long data.
@@ -47,8 +49,10 @@
   // Asks for the memory of the analysis, which depends on the number of schemas.
   [[nodiscard]] bool try_hold_analysis();
   void append_long_data(std::uint16_t parameter, std::string_view data);
+  void reset_long_data();
+  // An execution that is not carried out leaves no long data either. Returns what it fails with.
+  policy::LongDataError end_long_data();
   void drop_long_data();
-  void clear_long_data();
 };
 
 // The reason why a statement can't be executed; kNone if it can.
@@ -75,7 +79,8 @@
   void clear() { statements_.clear(); }
   // Handles the payload of COM_STMT_SEND_LONG_DATA, which has no response.
   void append_long_data(mysql::PayloadReader& reader);
-  // Reads the payload of COM_STMT_EXECUTE after the statement id. Moves the long data to the execution.
+  // Reads the payload of COM_STMT_EXECUTE after the statement id. Moves the long data to the execution, and
+  // leaves none if there is an error.
   static PreparedExecution make_execution(PreparedStatement& statement, mysql::PayloadReader& reader);
 
  private:
--- a/tests/integration/prepared_statements_test.cpp
+++ b/tests/integration/prepared_statements_test.cpp
@@ -112,6 +112,42 @@
       [&] { return fixture.frontend.memory->held(policy::MemoryUse::kPreparedStatements) < 8192; }));
 }
 
+TEST_CASE("mysql: an execution that is refused leaves no long data to the next one") {
+  // Guards against 'AAAAAAAA' being stored for 'AAAA' after the client has sent its data again.
+  enum class Refusal { kCursor, kTypesNotBound, kTransaction };
+  const Refusal refusal = GENERATE(Refusal::kCursor, Refusal::kTypesNotBound, Refusal::kTransaction);
+  CAPTURE(static_cast<int>(refusal));
+  MemoryFixture fixture;
+  MysqlClient client = fixture.log_in();
+  fixture.prepare(client, "INSERT INTO essays VALUES (?)");
+  client.send_long_data(1, 0, "AAAA");
+  if (refusal == Refusal::kCursor) {
+    std::string execution(1, static_cast<char>(mysql::kStmtExecute));
+    mysql::append_integer(execution, 1, 4);  // the statement
+    mysql::append_integer(execution, 1, 1);  // a cursor
+    mysql::append_integer(execution, 1, 4);  // iterations
+    client.send_command(execution);
+  } else if (refusal == Refusal::kTypesNotBound) {
+    client.send_execute(1, "LONG", MysqlClient::ParameterTypes::kOmitted);
+  } else {
+    client.send_query("SET autocommit = 0");
+    REQUIRE(error_of(client.read_first_message()) == 0);
+    client.send_execute(1, "LONG", MysqlClient::ParameterTypes::kSent);
+  }
+  REQUIRE(error_of(client.read_first_message()) != 0);
+  if (refusal == Refusal::kTransaction) {
+    client.send_query("SET autocommit = 1");
+    REQUIRE(error_of(client.read_first_message()) == 0);
+  }
+  client.send_long_data(1, 0, "AAAA");
+  client.send_execute(1, "LONG", MysqlClient::ParameterTypes::kSent);
+  REQUIRE(fixture.frontend.wait_for_attempts(2));
+  const auto long_data =
+      fixture.frontend.loop_thread.run([&] { return fixture.frontend.attempts.at(1).query->long_data; });
+  REQUIRE(long_data.size() == 1);
+  CHECK(long_data.front().second == "AAAA");
+}
+
 TEST_CASE("mysql: long data is released by its execution, a reset, and the end of its statement") {
   // Guards against a budget that shrinks with each use until nothing is accepted any more.
   enum class End { kExecute, kReset, kClose, kOverLimit };
