Fix: a query between two comments passed the authorization

Cause: the lexer skipped "*/" anywhere, not only at the end of a "/*!" comment, so that the quote in a comment began a string. Names of functions were compared without their qualifier and without the space before their parenthesis. Change: "*/" ends executed comments alone. A built-in function that a server recognizes only directly before its parenthesis, and any function of a schema, may write.

--- a/src/sql/functions.cpp
+++ b/src/sql/functions.cpp
@@ -25,6 +25,13 @@
     "TRUNCATE", "UCASE", "UNHEX", "UNIX_TIMESTAMP", "UPPER", "UTC_TIMESTAMP", "VARCHAR", "VARIANCE",
     "VAR_POP", "VAR_SAMP", "VERSION", "WEEK", "WEEKDAY", "YEAR"});
 
+// Built-in functions that are recognized only directly before their parenthesis. With a space or a comment
+// between them, a server looks for a stored function of this name.
+constexpr auto kFunctionsWithoutSpace = std::to_array<std::string_view>(
+    {"CAST", "COUNT", "CURDATE", "CURTIME", "DATE_ADD", "DATE_SUB", "EXTRACT", "GROUP_CONCAT",
+     "MAX", "MID", "MIN", "NOW", "STD", "STDDEV", "STDDEV_POP", "STDDEV_SAMP",
+     "SUBSTR", "SUBSTRING", "SUM", "TRIM", "VARIANCE", "VAR_POP", "VAR_SAMP"});
+
 // Keywords that may be followed by a parenthesis without being a call.
 constexpr auto kKeywordsBeforeParenthesis = std::to_array<std::string_view>({
     "ALL", "AND", "ANY", "AS", "BETWEEN", "BY", "CASE", "DISTINCT", "DIV", "ELSE", "EXCEPT", "EXISTS",
@@ -35,7 +42,11 @@
 
 }  // namespace
 
-bool is_side_effect_free_function(const Token& token) { return is_any_word(token, kSideEffectFreeFunctions); }
+bool is_side_effect_free_call(const Token& name, const Token& parenthesis) {
+  if (!is_any_word(name, kSideEffectFreeFunctions)) return false;
+  const bool is_adjacent = name.text.data() + name.text.size() == parenthesis.text.data();
+  return is_adjacent || !is_any_word(name, kFunctionsWithoutSpace);
+}
 
 bool is_keyword_before_parenthesis(const Token& token) {
   return is_any_word(token, kKeywordsBeforeParenthesis);
--- a/src/sql/functions.h
+++ b/src/sql/functions.h
@@ -5,9 +5,9 @@
 
 namespace rookproxy::sql {
 
-// Returns whether the word is a built-in function that depends only on its arguments and the session. Any
-// other function may be a stored one, which can read and write any data.
-[[nodiscard]] bool is_side_effect_free_function(const Token& token);
+// Returns whether the name and the parenthesis after it call a built-in function that depends only on its
+// arguments and the session. Any other function may be a stored one, which can read and write any data.
+[[nodiscard]] bool is_side_effect_free_call(const Token& name, const Token& parenthesis);
 // Returns whether the word is a keyword that may be followed by a parenthesis without being a call.
 [[nodiscard]] bool is_keyword_before_parenthesis(const Token& token);
 
--- a/src/sql/lexer.cpp
+++ b/src/sql/lexer.cpp
@@ -18,6 +18,10 @@
 }
 
 // Letters, digits, '_', '$' and all bytes outside ASCII.
+// The version number of a "/*!" comment.
+constexpr std::size_t kMinVersionDigits = 5;
+constexpr std::size_t kMaxVersionDigits = 6;
+
 bool is_word_character(char character) {
   return is_letter(character) || is_digit(character) || character == '_' || character == '$' ||
          static_cast<unsigned char>(character) >= 0x80;
@@ -46,20 +50,29 @@
   } else if (current == '#' || (current == '-' && next == '-' && static_cast<unsigned char>(third) <= ' ')) {
     position_ = std::min(statement_.find('\n', position_), statement_.size());
   } else if (current == '/' && next == '*' && third == '!') {
-    // Skips only the opening and its version number, because MySQL runs the body.
+    // Skips only the opening, because MySQL runs the body.
     position_ += 3;
-    while (position_ < statement_.size() && is_digit(statement_[position_])) ++position_;
+    in_executed_comment_ = true;
+    skip_version();
   } else if (current == '/' && next == '*') {
     const auto end = statement_.find("*/", position_ + 2);
     position_ = end == statement_.npos ? statement_.size() : end + 2;
-  } else if (current == '*' && next == '/') {
-    position_ += 2;  // the end of a "/*!" comment, whose body was tokenized
+  } else if (in_executed_comment_ && current == '*' && next == '/') {
+    position_ += 2;
+    in_executed_comment_ = false;
   } else {
     return false;
   }
   return true;
 }
 
+// Fewer digits than a version number has are a part of the statement.
+void Lexer::skip_version() {
+  std::size_t digits = 0;
+  while (digits < kMaxVersionDigits && is_digit(peek(digits, ' '))) ++digits;
+  if (digits >= kMinVersionDigits) position_ += digits;
+}
+
 Token Lexer::read_token() {
   const char current = statement_[position_];
   if (current == '\'' || current == '"') return read_quoted(Token::Kind::kString);
--- a/src/sql/lexer.h
+++ b/src/sql/lexer.h
@@ -17,8 +17,7 @@
 };
 
 // Reads the tokens of a statement one by one, in constant memory. Comments are skipped, except for the bodies
-// of
-// "/*!" comments, which MySQL runs. An unterminated string extends to the end of the statement, which must
+// of "/*!" comments, which MySQL runs. An unterminated string extends to the end of the statement, which must
 // outlive the lexer and its tokens.
 class Lexer {
  public:
@@ -32,6 +31,7 @@
  private:
   [[nodiscard]] char peek(std::size_t offset, char fallback) const;
   bool skip_space_or_comment();
+  void skip_version();
   Token read_token();
   Token read_quoted(Token::Kind kind);
   Token read_until(std::size_t end, Token::Kind kind);
@@ -40,6 +40,8 @@
 
   std::string_view statement_;
   std::size_t position_ = 0;
+  // Whether the position is in the body of a "/*!" comment. Elsewhere, "*/" ends nothing.
+  bool in_executed_comment_ = false;
 };
 
 // Returns whether the token is the given upper-case keyword, ignoring the case of ASCII letters.
--- a/src/sql/query_parser.cpp
+++ b/src/sql/query_parser.cpp
@@ -120,7 +120,7 @@
 
 void QueryParser::parse_call(const Token& function) {
   if (function.kind == Kind::kWord && is_keyword_before_parenthesis(function)) return;
-  if (function.kind == Kind::kQuotedName || !is_side_effect_free_function(function)) {
+  if (function.kind == Kind::kQuotedName || !is_side_effect_free_call(function, cursor_.peek())) {
     throw UnresolvedStatementError("it calls '" + excerpt(function) + "', which may read anything");
   }
   const bool may_have_from = is_any_word(function, kFunctionsWithFrom);
--- a/src/sql/statement_class.cpp
+++ b/src/sql/statement_class.cpp
@@ -50,8 +50,10 @@
   if (!tokens.has_mark('(', 1)) return false;
   // A function that is not known to be free of side effects may write.
   if (token.kind == Token::Kind::kQuotedName) return true;
-  return token.kind == Token::Kind::kWord && !is_side_effect_free_function(token) &&
-         !is_keyword_before_parenthesis(token);
+  if (token.kind != Token::Kind::kWord) return false;
+  const bool is_in_schema = is_mark(tokens.previous(), '.');
+  if (is_in_schema) return true;
+  return !is_side_effect_free_call(token, tokens.peek(1)) && !is_keyword_before_parenthesis(token);
 }
 
 // A quoted name as the word in its quotes.
--- a/tests/frontend/parsers_test.cpp
+++ b/tests/frontend/parsers_test.cpp
@@ -149,7 +149,8 @@
        {"INSERT INTO t VALUES (1)", "/*!50000 INSERT */ INTO t VALUES (1)",
         "SELECT a INTO OUTFILE 'x' FROM t", "WITH x AS (SELECT 1) DELETE FROM t", "SELECT my_function(1)",
         "SELECT `my_function`(1)", "CALL p()", "EXPLAIN ANALYZE UPDATE t SET a = 1", "SELECT 1; DROP TABLE t",
-        "SELECT /*! 1; */ DELETE", "TRUNCATE t", "SELECT /*!99999 sleep(1), */ f(2)"}) {
+        "SELECT /*! 1; */ DELETE", "TRUNCATE t", "SELECT /*!99999 sleep(1), */ f(2)",
+        "SELECT COUNT (a) FROM t", "SELECT y_2.upper(a) FROM t", "SELECT 1*/*'*/f(1)/*'*/"}) {
     INFO(write);
     CHECK_FALSE(is_read_only(write));
   }
--- a/tests/sql/statement_analysis_test.cpp
+++ b/tests/sql/statement_analysis_test.cpp
@@ -21,6 +21,7 @@
       {"SELECT a FROM x_1.t", {"x_1"}},
       {"SELECT a FROM `x_1` . `t` AS q WHERE q.a = 'FROM y_2.t'", {"x_1"}},
       {"SELECT 1 -- FROM y_2.t", {}},
+      {"SELECT IF(1*/*'*/1, (SELECT a FROM y_2.t), /*'*/0) FROM x_1.t", {"y_2", "x_1"}},
       {"SELECT a, (SELECT max(b) FROM y_2.t) FROM x_1.t, z_3.u JOIN w_4.v USING (a)",
        {"y_2", "x_1", "z_3", "w_4"}},
       {"SELECT a FROM (SELECT * FROM x_1.t) AS d LEFT JOIN y_2.u ON d.a = u.a AND u.b IN (SELECT c FROM "
@@ -61,6 +62,7 @@
       {"SHOW SESSION VARIABLES LIKE 'version%'", {}},
       {"SELECT @@version_comment LIMIT 1;", {}},
       {"SELECT 1.5 + .5 FROM DUAL", {}},
+      {"SELECT COUNT(a), CONCAT (a, b) FROM x_1.t WHERE a IN (1)", {"x_1"}},
       {"SELECT 'it''s', 'O\\'Brien' FROM x_1.t", {"x_1"}}};
   for (const auto& [statement, schemas] : cases) {
     const auto facts = sql::analyze_statement(statement, Dialect::kMysql);
@@ -86,6 +88,9 @@
                                 "SELECT a FROM JSON_TABLE('[]', '$' COLUMNS (a INT)) j",
                                 "SELECT y_2.f(1)",
                                 "SELECT f(1)",
+                                "SELECT COUNT (a) FROM x_1.t",
+                                "SELECT sum/**/(a) FROM x_1.t",
+                                "SELECT y_2.upper(a) FROM x_1.t",
                                 "SELECT LOAD_FILE('/etc/passwd')",
                                 "SELECT `f`(1)",
                                 "SELECT a INTO OUTFILE '/tmp/x' FROM x_1.t",
