Fix: KILL of a client ended what another client runs on an engine

Cause: the list of statements about sessions lacked it. Change: KILL is rejected with 1235. The dispatcher's own KILL QUERY, for reads that nobody waits for, can still reach a process that has taken the address of the one it was meant for.

--- a/src/sql/statement_class.cpp
+++ b/src/sql/statement_class.cpp
@@ -71,6 +71,7 @@
   if (is_any_word(first, kPrepareStatements)) return "prepared statements in SQL text";
   if (is_word(first, "SET") && !is_word(second, "GLOBAL")) return "session variables";
   if (is_word(first, "USE")) return "USE in SQL text";
+  if (is_word(first, "KILL")) return "KILL";
   const bool shows_messages =
       is_word(second, "WARNINGS") || is_word(second, "ERRORS") || is_word(second, "COUNT");
   if (is_word(first, "SHOW") && shows_messages) return kEarlierResults;
--- a/tests/frontend/parsers_test.cpp
+++ b/tests/frontend/parsers_test.cpp
@@ -207,10 +207,11 @@
 
 TEST_CASE("sql: statements that depend on session state are detected") {
   using sql::find_session_state;
-  for (const char* state : {"begin", "START TRANSACTION", "SET autocommit=0", "LOCK TABLES t READ",
-                            "CREATE TEMPORARY TABLE t (a INT)", "SELECT @a", "SELECT GET_LOCK('a', 1)",
-                            "SELECT a FROM t FOR UPDATE", "SELECT a FROM t LOCK IN SHARE MODE",
-                            "PREPARE s FROM 'x'", "USE school_4", "SHOW WARNINGS", "SELECT FOUND_ROWS()"}) {
+  for (const char* state :
+       {"begin", "START TRANSACTION", "SET autocommit=0", "LOCK TABLES t READ",
+        "CREATE TEMPORARY TABLE t (a INT)", "SELECT @a", "SELECT GET_LOCK('a', 1)",
+        "SELECT a FROM t FOR UPDATE", "SELECT a FROM t LOCK IN SHARE MODE", "PREPARE s FROM 'x'",
+        "USE school_4", "SHOW WARNINGS", "SELECT FOUND_ROWS()", "KILL 5", "/* a */ kill query 5"}) {
     INFO(state);
     CHECK(find_session_state(state));
   }
