--- a/bench/mysql_cost.cpp
+++ b/bench/mysql_cost.cpp
@@ -1,12 +1,12 @@
 // Compares what a request costs two builds of the dispatcher: CPU time and memory, in alternating runs with
 // the same load of MySQL queries and executions of prepared statements. docs/performance.md has the command
 // and results.
-#include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <chrono>
+#include <csignal>
 #include <cstdint>
 #include <fstream>
 #include <iostream>
@@ -87,10 +87,10 @@
     fields >> user >> system;
     return std::chrono::duration<double>((user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK)));
   }
-  [[nodiscard]] long anonymous_kilobytes() const {
+  [[nodiscard]] std::int64_t anonymous_kilobytes() const {
     std::ifstream file("/proc/" + std::to_string(process_) + "/status");
     for (std::string key; file >> key;) {
-      long value = 0;
+      std::int64_t value = 0;
       if (key == "RssAnon:" && file >> value) return value;
     }
     return 0;
@@ -166,7 +166,7 @@
   std::ofstream(file) << config_text(folder, port, {first.port(), second.port()});
   const Dispatcher dispatcher(program, file);
   std::this_thread::sleep_for(500ms);
-  const long idle = dispatcher.anonymous_kilobytes();
+  const std::int64_t idle = dispatcher.anonymous_kilobytes();
   run_clients(port, requests / 10);
   const auto before = dispatcher.cpu_time();
   run_clients(port, requests);
--- a/src/mysql/response.cpp
+++ b/src/mysql/response.cpp
@@ -173,7 +173,7 @@
 void clear_autocommit_status(std::string& packets) {
   std::size_t position = 0;
   while (position + kHeaderSize < packets.size()) {
-    const std::string_view remaining = std::string_view(packets).substr(position);
+    const std::string_view remaining = std::string_view{packets}.substr(position);
     const std::size_t size = PayloadReader(remaining.substr(0, 3)).integer(3);
     const PayloadReader payload(remaining.substr(kHeaderSize, size));
     const std::size_t offset = status_offset(payload, size, position == 0);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -95,7 +95,7 @@
 }
 
 std::string_view Stream::PendingWrite::part_at(std::size_t offset) const {
-  if (offset < head.size()) return std::string_view(head).substr(offset);
+  if (offset < head.size()) return std::string_view{head}.substr(offset);
   return body.bytes.substr(offset - head.size());
 }
 
@@ -103,7 +103,11 @@
   const WriteId id = next_write_id_++;
   if (closing_gracefully_) return id;
   queued_bytes_ += head.size() + body.bytes.size();
-  pending_writes_.push_back({id, std::move(head), std::move(body), completed_counter});
+  PendingWrite& pending = pending_writes_.emplace_back();
+  pending.id = id;
+  pending.head = std::move(head);
+  pending.body = std::move(body);
+  pending.completed_counter = completed_counter;
   if (!connecting_ && pending_writes_.size() == 1) flush();
   return id;
 }
@@ -248,7 +252,7 @@
   std::size_t consumed = 0;
   while (consumed < input_.size() && socket_ && !read_paused_ && !closing_gracefully_) {
     const bool was_secure = secure_ != nullptr;
-    const std::size_t consumed_now = handler_.on_bytes(std::string_view(input_).substr(consumed));
+    const std::size_t consumed_now = handler_.on_bytes(std::string_view{input_}.substr(consumed));
     if (consumed_now == 0) break;
     consumed += consumed_now;
     if (secure_ && !was_secure) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -111,10 +111,10 @@
  private:
   // Queued bytes, and the counter to increment once the kernel has accepted them.
   struct PendingWrite {
-    WriteId id;
+    WriteId id = 0;
     std::string head;
     SharedBytes body;
-    std::uint64_t* completed_counter;
+    std::uint64_t* completed_counter = nullptr;
 
     [[nodiscard]] std::size_t size() const { return head.size() + body.bytes.size(); }
     // Returns the part of the bytes that begins at `offset` and is contiguous in memory.
--- a/src/sql/lexer.h
+++ b/src/sql/lexer.h
@@ -1,6 +1,7 @@
 // Splits SQL statements into tokens, in the detail that the dispatcher needs.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -62,10 +63,9 @@
 template <class Words>
 [[nodiscard]] bool is_any_word(const Token& token, const Words& upper_case_words) {
   if (token.kind != Token::Kind::kWord) return false;
-  for (const std::string_view word : upper_case_words) {
-    if (word.size() == token.text.size() && is_word(token, word)) return true;
-  }
-  return false;
+  return std::any_of(upper_case_words.begin(), upper_case_words.end(), [&](std::string_view word) {
+    return word.size() == token.text.size() && is_word(token, word);
+  });
 }
 
 }  // namespace rookproxy::sql
--- a/src/upstream/engine_statement_cache.h
+++ b/src/upstream/engine_statement_cache.h
@@ -54,6 +54,7 @@
   struct OwnedKey {
     std::string schema;
     std::string text;
+    // NOLINTNEXTLINE(google-explicit-constructor): the map compares owned keys with views.
     operator StatementKey() const { return {schema, text}; }
   };
   struct KeyOrder {
