Frames frontend: a default for the memory of a request that waits

Cause: the build with warnings as errors failed on 'missing initializer for member PendingRequest::memory'; the release build has them off. Change: the member has a default.

--- a/src/frontend/frames_frontend.h
+++ b/src/frontend/frames_frontend.h
@@ -86,7 +86,7 @@
     // The wait until the statement may be read; 0 if there is none.
     TurnScheduler::WaitId turn_wait = 0;
     // What it holds during the check or the wait.
-    policy::MemoryHolding memory;
+    policy::MemoryHolding memory{};
   };
   void accept(FileDescriptor fd);
   void drop(SlotKey key);
