Fix: clients that send at full speed delayed the requests of all others

Callers saw answers after their due time, or none, while six or eight other clients sent readiness queries, requests without id, of unknown classes or of new tables.

Cause: the work for one connection in an iteration of the event loop was bounded in bytes (64 kB), not in time: 6,500 readiness queries, each with a system call for its response, for each such connection before anyone else was read. Stalled iterations were not reported either, since the report was skipped while a connection had more input.

policy::InputSchedule now decides who is read next and for how long (start-time fair queueing): a turn lasts 0.5 ms and includes the routing of its requests, the connection that has used the least time goes first, and an iteration gives turns for 4 ms before it looks for other events.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -33,6 +33,7 @@
 
 void EventLoop::unwatch(SlotKey key, int descriptor) {
   if (!handlers_.take(key)) return;
+  input_schedule_.remove(key);
   ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, descriptor, nullptr);
 }
 
@@ -77,14 +78,19 @@
   }
 }
 
-// Returns how long to wait for events: not at all, until the first timer is due, or without limit. Reports
-// the iteration that ends here if it stalled.
+void EventLoop::report_stall() {
+  if (!on_stalled_iteration_) return;
+  const Duration took = monotonic_now() - now_;
+  if (took >= stall_threshold_) on_stalled_iteration_(took);
+}
+
+// Returns how long to wait for events: not at all, until the first timer is due, or without limit.
 int EventLoop::wait_milliseconds(bool may_wait) {
-  if (!may_wait || !requeued_.empty()) return 0;
+  report_stall();
+  if (!may_wait || !requeued_.empty() || input_schedule_.has_waiting()) return 0;
   if (timers_.empty()) return kWaitForever;
-  const Time now = monotonic_now();
-  if (now - now_ >= stall_threshold_) on_stalled_iteration_(now - now_);
-  const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first.due - now);
+  const auto remaining =
+      std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first.due - monotonic_now());
   return static_cast<int>(std::clamp<std::int64_t>(remaining.count(), 0, kLongestWaitMilliseconds));
 }
 
@@ -104,10 +110,27 @@
   ready.insert(ready.end(), requeued_.begin(), requeued_.end());
   requeued_.clear();
   // A wait that a signal interrupted does not show whether there are events.
-  idle_ = count >= 0 && ready.empty();
+  idle_ = count >= 0 && ready.empty() && !input_schedule_.has_waiting();
   return ready;
 }
 
+bool EventLoop::is_turn_over() const {
+  return turn_ends_at_ != Time::max() && monotonic_now() >= turn_ends_at_;
+}
+
+// Gives turns until no input waits or the iteration's time for them is used up.
+void EventLoop::run_input_turns() {
+  input_schedule_.begin_iteration();
+  while (const auto key = input_schedule_.begin_turn()) {
+    const Time started = monotonic_now();
+    turn_ends_at_ = started + policy::InputSchedule::kMaxTurn;
+    if (EventHandler** handler = handlers_.find(*key)) (*handler)->on_input_turn();
+    turn_ends_at_ = Time::max();
+    if (on_turn_end_) on_turn_end_();
+    input_schedule_.end_turn(monotonic_now() - started);
+  }
+}
+
 bool EventLoop::run_iteration(bool may_wait) {
   const std::vector<ReadyEvent> ready = wait_for_events(wait_milliseconds(may_wait));
   for (const ReadyEvent& event : ready) {
@@ -115,11 +138,13 @@
     // and reused its slot.
     if (EventHandler** handler = handlers_.find(event.key)) (*handler)->on_ready(event.events);
   }
+  const bool had_input = input_schedule_.has_waiting();
+  run_input_turns();
   const bool timers_ran = run_due_timers();
   run_deferred();
   if (on_iteration_end_) on_iteration_end_();
   run_deferred();
-  return timers_ran || !ready.empty();
+  return timers_ran || had_input || !ready.empty();
 }
 
 }  // namespace rookproxy
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "net/file_descriptor.h"
 #include "net/slot_map.h"
+#include "policy/input_schedule.h"
 
 namespace rookproxy {
 
@@ -18,6 +19,9 @@
  public:
   // `events` are epoll's flags.
   virtual void on_ready(std::uint32_t events) = 0;
+  // Reads and handles input until there is none or EventLoop::is_turn_over() returns true; then the handler
+  // requeues itself. Called only after EventLoop::schedule_input().
+  virtual void on_input_turn() {}
 
  protected:
   ~EventHandler() = default;
@@ -50,6 +54,10 @@
   // Calls the handler again with these events in the next iteration. Used by handlers that reached their
   // limit for this iteration.
   void requeue(SlotKey key, std::uint32_t events);
+  // Calls the handler's on_input_turn() when the turn of its descriptor comes (see policy::InputSchedule).
+  void schedule_input(SlotKey key) { input_schedule_.on_input(key); }
+  // Returns true once the current turn has taken as long as it may. False outside of turns.
+  [[nodiscard]] bool is_turn_over() const;
 
   // Runs the task once, in the first iteration whose time is at or after `due`.
   TimerId run_at(Time due, Task task);
@@ -60,6 +68,8 @@
   void defer(Task task) { deferred_.push_back(std::move(task)); }
   // Sets a task that runs at the end of every iteration, after the deferred tasks.
   void on_iteration_end(Task task) { on_iteration_end_ = std::move(task); }
+  // Sets a task that runs at the end of every input turn, whose time counts as part of the turn.
+  void on_turn_end(Task task) { on_turn_end_ = std::move(task); }
   // Sets a callback for iterations whose duration, from the end of one wait to the next wait, is `threshold`
   // or more. It receives the duration, by which timers may be late because of this process's work or a busy
   // CPU.
@@ -70,7 +80,7 @@
 
   // Returns the time at which this iteration's wait ended.
   [[nodiscard]] Time now() const { return now_; }
-  // Returns true if this iteration's wait found no event.
+  // Returns true if this iteration's wait found no event and no input waits for its turn.
   [[nodiscard]] bool is_idle() const { return idle_; }
   // Runs iterations until stop() is called. May be called again afterwards.
   void run();
@@ -91,6 +101,8 @@
 
   bool run_iteration(bool may_wait);
   int wait_milliseconds(bool may_wait);
+  void report_stall();
+  void run_input_turns();
   std::vector<ReadyEvent> wait_for_events(int timeout_milliseconds);
   bool run_due_timers();
   void run_deferred();
@@ -98,10 +110,14 @@
   FileDescriptor epoll_;
   SlotMap<EventHandler*> handlers_;
   std::vector<ReadyEvent> requeued_;
+  policy::InputSchedule input_schedule_;
+  // Time::max() outside of turns.
+  Time turn_ends_at_ = Time::max();
   std::map<TimerId, Task> timers_;
   std::uint64_t next_timer_sequence_ = 1;
   std::vector<Task> deferred_;
   Task on_iteration_end_;
+  Task on_turn_end_;
   Duration stall_threshold_ = Duration::max();
   std::function<void(Duration)> on_stalled_iteration_;
   Time now_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -255,6 +255,8 @@
     const std::size_t consumed_now = handler_.on_bytes(std::string_view{input_}.substr(consumed));
     if (consumed_now == 0) break;
     consumed += consumed_now;
+    // read_available() continues in the next turn.
+    if (loop_.is_turn_over()) break;
     if (secure_ && !was_secure) {
       // The handler installed a channel; the remaining bytes belong to it.
       const std::string remaining = std::exchange(input_, "").substr(consumed);
@@ -288,7 +290,7 @@
   if (!input_.empty() && !read_paused_) deliver_input();
   std::size_t bytes_read = 0;
   while (socket_ && !read_paused_ && !failed_) {
-    if (bytes_read >= kReadBytesPerIteration) return loop_.requeue(key_, EPOLLIN);
+    if (bytes_read >= kReadBytesPerIteration || loop_.is_turn_over()) return loop_.requeue(key_, EPOLLIN);
     if (input_.size() >= input_limit_) return fail("message larger than the input buffer");
     char chunk[kReadChunkSize];
     const std::size_t capacity = std::min(sizeof chunk, input_limit_ - input_.size());
@@ -330,7 +332,7 @@
   constexpr std::uint32_t kHangUpEvents = EPOLLRDHUP | EPOLLHUP | EPOLLERR;
   if (connecting_ && !finish_connecting(events)) return;
   if (socket_ && !closing_gracefully_ && (events & kHangUpEvents) != 0) handler_.on_hangup();
-  if (socket_ && (events & (EPOLLIN | kHangUpEvents)) != 0) read_available();
+  if (socket_ && (events & (EPOLLIN | kHangUpEvents)) != 0) loop_.schedule_input(key_);
   if (socket_ && (events & EPOLLOUT) != 0) {
     flush();
     if (queued_bytes() == 0 && !failed_ && !closing_gracefully_) handler_.on_flushed();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -49,8 +49,8 @@
  public:
   // Identifies a write, so that it can be cancelled before any of its bytes is sent.
   using WriteId = std::uint64_t;
-  // The number of bytes after which reading is interrupted until the next iteration, so that other streams
-  // are served.
+  // The number of bytes after which reading is interrupted until the next iteration, even if the turn is not
+  // over.
   static constexpr std::size_t kReadBytesPerIteration = 64 * 1024;
 
   // `connecting` is true if the connection is still being established. `input_limit` is the maximum number of
@@ -133,6 +133,7 @@
   };
 
   void on_ready(std::uint32_t events) override;
+  void on_input_turn() override { read_now(); }
   bool finish_connecting(std::uint32_t events);
   void read_available();
   void handle_received_bytes(std::string_view bytes);
