Fix: responses that clients don't read took several times their counted memory

Callers saw: nothing; a process passed its memory limit while clients sent pings or readiness queries at full speed and read no responses (a MySQL client could leave 8 MB unread, in entries of 11 bytes that take 88 bytes each).

Cause: queued bytes were counted, not what they take in memory; MySQL commands were handled on while 8 MB were unread; each ping above 16 kB counted the queues of all connections again.

Small responses are stored together now and those of one turn are sent with one call. A MySQL session handles no commands while over 256 kB are unread, as the frames frontend does. The queues of all connections are counted only once the limit seems exceeded.

--- a/src/frontend/frames_connection.cpp
+++ b/src/frontend/frames_connection.cpp
@@ -170,7 +170,8 @@
 
 // Pauses the handling of frames while the client does not read its responses.
 void FramesFrontend::Connection::write(std::string bytes) {
-  stream_.write(std::move(bytes));
+  stream_.write_batched(std::move(bytes));
+  if (stream_.queued_bytes() > kLargeFrameThreshold) update_unread_memory();
   if (stream_.queued_bytes() <= frontend_.limits_.max_unread_bytes_per_connection) return;
   paused_for_unread_responses_ = true;
   if (!frontend_.has_too_many_unread_bytes()) return;
@@ -254,7 +255,7 @@
 void FramesFrontend::Connection::protocol_error(std::string_view reason) {
   if (closing_) return;
   frontend_.log_.write(LogLevel::kNotice, "frames", reason, {});
-  stream_.write(frames::encode_response(0, frames::kFailed, {}, reason));
+  stream_.write_batched(frames::encode_response(0, frames::kFailed, {}, reason));
   stop_accepting_requests();
   if (open_requests_.empty()) close_gracefully();
 }
--- a/src/frontend/frames_frontend.cpp
+++ b/src/frontend/frames_frontend.cpp
@@ -84,9 +84,12 @@
   request.turn_wait = 0;
 }
 
+// Connections count what their clients have not read when they write; what clients have read since is found
+// out only if the limit seems to be exceeded.
 bool FramesFrontend::has_too_many_unread_bytes() const {
+  if (!memory_ || !memory_->is_exceeded(policy::MemoryUse::kUnreadResponses)) return false;
   connections_.update_unread_memory();
-  return memory_ && memory_->is_exceeded(policy::MemoryUse::kUnreadResponses);
+  return memory_->is_exceeded(policy::MemoryUse::kUnreadResponses);
 }
 
 bool FramesFrontend::is_full() const {
--- a/src/frontend/mysql_connection.cpp
+++ b/src/frontend/mysql_connection.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kInputLimit = kMaxCommandBytes + 64 * 1024;
 // The maximum number of response bytes that one client may leave unread.
 constexpr std::size_t kMaxUnreadBytes = 8u << 20;
+// The number of unread response bytes of one client above which its commands are not handled.
+constexpr std::size_t kMaxUnreadBytesToHandleCommands = 256 * 1024;
 // The size in bytes above which partial commands are counted against a shared budget.
 constexpr std::size_t kLargeCommandThreshold = 16 * 1024;
 // The first byte of an error packet.
@@ -56,7 +58,7 @@
 // Handles one command at a time, like a server session.
 std::size_t MysqlFrontend::Connection::on_bytes(std::string_view bytes) {
   if (state_ == State::kClosing) return bytes.size();
-  if (is_waiting()) return 0;
+  if (is_waiting() || paused_for_unread_responses_) return 0;
   const std::size_t max_bytes = is_logging_in() ? kMaxLoginPacketBytes : kMaxCommandBytes;
   const mysql::Message message = mysql::parse_message(bytes, max_bytes);
   if (message.consumed == 0) return reserve_command_bytes(bytes) ? 0 : bytes.size();
@@ -125,7 +127,7 @@
   if (state_ != State::kWaitingForTurn) return;
   state_ = State::kReady;
   turn_decision_ = decision;
-  stream_.set_read_paused(false);
+  update_read_pause();
   read_now();
   turn_decision_.reset();
   if (frontend_.closing_after_response_ && state_ == State::kReady) close_gracefully();
@@ -149,15 +151,27 @@
 // A connection whose client does not read its responses is not closed gracefully, because that would wait
 // until the client reads the very bytes that exceed the limit.
 void MysqlFrontend::Connection::write(std::string packets) {
-  stream_.write(std::move(packets));
+  stream_.write_batched(std::move(packets));
   const std::size_t queued = stream_.queued_bytes();
   if (queued <= kLargeCommandThreshold) return;
+  update_unread_memory();
+  if (queued > kMaxUnreadBytesToHandleCommands) {
+    paused_for_unread_responses_ = true;
+    update_read_pause();
+  }
   if (queued <= kMaxUnreadBytes && !frontend_.has_too_many_unread_bytes()) return;
   frontend_.log_.write(LogLevel::kNotice, "mysql",
                        "client does not read its responses; closing the connection", {{"user", login_.user}});
   frontend_.loop_.defer([&frontend = frontend_, key = key_] { frontend.drop(key); });
 }
 
+void MysqlFrontend::Connection::on_flushed() {
+  unread_memory_.release();
+  if (!std::exchange(paused_for_unread_responses_, false)) return;
+  update_read_pause();
+  stream_.schedule_read();
+}
+
 void MysqlFrontend::Connection::ok() { reply(mysql::ok_payload(0, 0, autocommit_ ? mysql::kAutocommit : 0)); }
 
 void MysqlFrontend::Connection::error(std::uint16_t code, const std::string& text) {
@@ -187,7 +201,7 @@
 ResponseStatus MysqlFrontend::Connection::handle_response(Response response) {
   request_.reset();
   state_ = State::kReady;
-  stream_.set_read_paused(false);
+  update_read_pause();
   start_close_timer(frontend_.config_.idle_timeout);
   const ResponseStatus status = write_response(std::move(response));
   pending_statement_ = PreparedStatement{};
--- a/src/frontend/mysql_connection.h
+++ b/src/frontend/mysql_connection.h
@@ -29,7 +29,7 @@
   void on_closed(std::string_view) override { frontend_.drop(key_); }
   // Unread commands of a disconnected client are discarded.
   void on_hangup() override { frontend_.client_disconnected(key_); }
-  void on_flushed() override { unread_memory_.release(); }
+  void on_flushed() override;
 
   // Writes the response to the command that was submitted to the dispatcher. Returns the status sent to the
   // client, which is a failure if the result can't be read.
@@ -88,6 +88,7 @@
   void error(std::uint16_t code, const std::string& text);
   void fatal(std::uint16_t code, const std::string& text);
   void not_supported(const std::string& what);
+  void update_read_pause() { stream_.set_read_paused(is_waiting() || paused_for_unread_responses_); }
   void start_close_timer(Duration timeout);
   [[nodiscard]] static std::string retry_message(std::optional<Duration> retry_after);
   [[nodiscard]] std::string may_have_run_text() const;
@@ -157,6 +158,8 @@
   policy::MemoryHolding command_memory_;
   // What the client has not read, counted while it is much.
   policy::MemoryHolding unread_memory_;
+  // True if no commands are handled until the client has read its responses.
+  bool paused_for_unread_responses_ = false;
   // The wait of the command for its turn; 0 if there is none.
   TurnScheduler::WaitId turn_wait_ = 0;
   // Set if the command that is handled next has waited for its turn.
--- a/src/frontend/mysql_frontend.cpp
+++ b/src/frontend/mysql_frontend.cpp
@@ -114,9 +114,12 @@
   accepting ? acceptor_->start() : acceptor_->stop();
 }
 
+// Connections count what their clients have not read when they write; what clients have read since is found
+// out only if the limit seems to be exceeded.
 bool MysqlFrontend::has_too_many_unread_bytes() const {
+  if (!memory_ || !memory_->is_exceeded(policy::MemoryUse::kUnreadResponses)) return false;
   connections_.update_unread_memory();
-  return memory_ && memory_->is_exceeded(policy::MemoryUse::kUnreadResponses);
+  return memory_->is_exceeded(policy::MemoryUse::kUnreadResponses);
 }
 
 void MysqlFrontend::close_after_next_response() {
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -18,6 +18,8 @@
 // The maximum number of bytes that a channel encrypts at a time.
 constexpr std::size_t kMaxRecordSize = 16 * 1024;
 constexpr std::size_t kPartsPerCall = 32;
+// The size up to which batched bytes are stored together, and above which they are sent at once.
+constexpr std::size_t kMaxBatchSize = 16 * 1024;
 
 bool would_block(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
 
@@ -112,6 +114,23 @@
   return id;
 }
 
+void Stream::write_batched(std::string bytes) {
+  if (closing_gracefully_) return;
+  queued_bytes_ += bytes.size();
+  const bool is_first = pending_writes_.empty();
+  if (!is_first && pending_writes_.back().is_batch &&
+      pending_writes_.back().head.size() + bytes.size() <= kMaxBatchSize) {
+    pending_writes_.back().head += bytes;
+  } else {
+    PendingWrite& pending = pending_writes_.emplace_back();
+    pending.id = next_write_id_++;
+    pending.head = std::move(bytes);
+    pending.is_batch = true;
+  }
+  const bool sends_now = delivering_input_ ? queued_bytes_ >= kMaxBatchSize : is_first;
+  if (sends_now && !connecting_ && !write_blocked_) flush();
+}
+
 bool Stream::cancel_write(WriteId id) {
   if (has_write_started(id)) return false;
   const auto found = std::find_if(pending_writes_.begin(), pending_writes_.end(),
@@ -148,7 +167,8 @@
                                 state.encrypted.size() - state.sent, MSG_NOSIGNAL);
     if (sent < 0) {
       if (errno == EINTR) continue;
-      if (!would_block(errno)) fail(std::string("write: ") + std::strerror(errno));
+      write_blocked_ = would_block(errno);
+      if (!write_blocked_) fail(std::string("write: ") + std::strerror(errno));
       return false;
     }
     state.sent += static_cast<std::size_t>(sent);
@@ -235,7 +255,8 @@
     return true;
   }
   if (errno == EINTR) return true;
-  if (!would_block(errno)) fail(std::string("write: ") + std::strerror(errno));
+  write_blocked_ = would_block(errno);
+  if (!write_blocked_) fail(std::string("write: ") + std::strerror(errno));
   return false;
 }
 
@@ -247,8 +268,15 @@
   if (write_shutdown_requested_ && pending_writes_.empty() && socket_ && !failed_) half_close();
 }
 
-// The handler may close this stream, write to it, or be called again through it, but must not destroy it.
 void Stream::deliver_input() {
+  const bool is_nested = std::exchange(delivering_input_, true);
+  pass_input_to_handler();
+  delivering_input_ = is_nested;
+  if (!is_nested && socket_ && !connecting_ && !write_blocked_) flush();
+}
+
+// The handler may close this stream, write to it, or be called again through it, but must not destroy it.
+void Stream::pass_input_to_handler() {
   std::size_t consumed = 0;
   while (consumed < input_.size() && socket_ && !read_paused_ && !closing_gracefully_) {
     const bool was_secure = secure_ != nullptr;
@@ -334,6 +362,7 @@
   if (socket_ && !closing_gracefully_ && (events & kHangUpEvents) != 0) handler_.on_hangup();
   if (socket_ && (events & (EPOLLIN | kHangUpEvents)) != 0) loop_.schedule_input(key_);
   if (socket_ && (events & EPOLLOUT) != 0) {
+    write_blocked_ = false;
     flush();
     if (queued_bytes() == 0 && !failed_ && !closing_gracefully_) handler_.on_flushed();
   }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -68,6 +68,9 @@
   }
   // Queues the bytes of `head` and `body` as one write.
   WriteId write(std::string head, SharedBytes body, std::uint64_t* completed_counter = nullptr);
+  // Queues bytes that need no id. Small ones are stored together, and those that the handler writes while it
+  // handles input are sent together afterwards.
+  void write_batched(std::string bytes);
   // Cancels a write of which no byte was sent. Returns false if it has started or is unknown.
   bool cancel_write(WriteId id);
   // Returns true once a byte of the write was passed to the kernel or to the channel: the peer may have
@@ -115,6 +118,8 @@
     std::string head;
     SharedBytes body;
     std::uint64_t* completed_counter = nullptr;
+    // True if further batched bytes may be appended to `head`.
+    bool is_batch = false;
 
     [[nodiscard]] std::size_t size() const { return head.size() + body.bytes.size(); }
     // Returns the part of the bytes that begins at `offset` and is contiguous in memory.
@@ -139,6 +144,7 @@
   void handle_received_bytes(std::string_view bytes);
   void on_end_of_stream();
   void deliver_input();
+  void pass_input_to_handler();
   void receive_through_channel(std::string_view bytes);
   void flush();
   bool send_pending();
@@ -155,6 +161,10 @@
   SlotKey key_ = 0;
   bool connecting_;
   bool read_paused_ = false;
+  // True while the handler handles input.
+  bool delivering_input_ = false;
+  // True if the kernel accepts no more bytes until it reports that it does.
+  bool write_blocked_ = false;
   bool failed_ = false;
   bool write_shutdown_requested_ = false;
   // True after close_gracefully(); received bytes are no longer passed to the handler.
