Fix: timers of requests that had ended stayed until the requests' deadlines

Callers saw: nothing; a process passed its memory limit while clients sent requests and cancelled them at once.

Cause: the router asks for a timer at each request's deadline, and nothing cancelled it when the request ended. The timer now belongs to the request in the dispatcher and ends with it.

--- a/include/rookproxy/routing/router.h
+++ b/include/rookproxy/routing/router.h
@@ -370,6 +370,9 @@
   // Number of listed engines that get no new requests at `now`, or only one at a time, because they are
   // draining, failing or unreachable.
   [[nodiscard]] std::size_t avoided_engines(Time now) const;
+  // Returns the request whose timer has the token, or nothing if it belongs to no request. A request's timer
+  // is no longer needed once the request has its final response and no attempt in flight.
+  [[nodiscard]] static std::optional<RequestId> request_of_timer(std::uint64_t token);
 
  private:
   class Impl;
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -292,9 +292,17 @@
   finish(action.request, Response::failed(ResponseCause::kDecision));
 }
 
+// A request's timer ends with the request, so that none is left behind for a client that cancels many.
 void Dispatcher::execute(const routing::SetTimer& action) {
-  loop_.run_at(from_routing_time(action.at),
-               [this, token = action.token] { queue_event(routing::TimerFired{token}); });
+  const auto id = routing::Router::request_of_timer(action.token);
+  Request* request = id ? requests_.find(*id) : nullptr;
+  if (id && !request) return;
+  const TimerId timer = loop_.run_at(from_routing_time(action.at), [this, token = action.token] {
+    queue_event(routing::TimerFired{token});
+  });
+  if (!request) return;
+  loop_.cancel(request->routing_timer);
+  request->routing_timer = timer;
 }
 
 void Dispatcher::execute(const routing::Probe& action) { engines_.start_probe(action.engine); }
@@ -419,8 +427,10 @@
 }
 
 void Dispatcher::release_if_done(RequestKey key) {
-  const auto released = requests_.release_if_done(key);
-  if (released) settings_.remove_request(released->incoming.class_index);
+  auto released = requests_.release_if_done(key);
+  if (!released) return;
+  loop_.cancel(released->routing_timer);
+  settings_.remove_request(released->incoming.class_index);
 }
 
 }  // namespace rookproxy
--- a/src/dispatcher/request_table.h
+++ b/src/dispatcher/request_table.h
@@ -43,6 +43,8 @@
   std::vector<Attempt> attempts;
   // Fails the request if the router has not ended it by the deadline.
   TimerId deadline_timer{};
+  // The router's timer for the request.
+  TimerId routing_timer{};
   std::string last_error;
 
   // Whether any attempt may have run on an engine.
--- a/src/routing/router_interface.cpp
+++ b/src/routing/router_interface.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -54,4 +55,9 @@
 
 std::size_t Router::avoided_engines(Time now) const { return impl_->avoided_engines(now); }
 
+std::optional<RequestId> Router::request_of_timer(std::uint64_t token) {
+  if (token < kFirstRequestToken) return std::nullopt;
+  return token - kFirstRequestToken;
+}
+
 }  // namespace rookproxy::routing
