Fix: a load ran twice when its id came again after its client had left

Callers saw a load that ran twice: its client left (or its connection ended) while the load ran, and the same id came again on a new connection, or at the other process of an upgrade.

Cause: an id was known only as long as its client waited. What must not run twice is decided by whether it may have run, which outlives the client.

The processes of one dispatcher claim ids by record locks in the shared folder, which the kernel releases at any death. A repeated id gets 'failed', since a refusal would allow a retry. The dispatcher asks at submission, so both frontends have the rule; MySQL ids are the frontend's own and never come again.

Not covered: an id that comes again after the process that ran it has ended.

--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -107,7 +107,7 @@
 void App::open_process_lock_file() {
   if (!has_passed_listener(config_)) return;
   process_lock_file_.emplace(process_lock_path(config_));
-  if (process_lock_file_->is_acquired()) return;
+  if (process_lock_file_->is_acquired()) return dispatcher_.set_execution_claims(*process_lock_file_);
   log_.write(
       LogLevel::kWarning, "start",
       "cannot lock a file in the shared folder; assuming that no other process of this dispatcher runs",
--- a/src/app/process_lock_file.cpp
+++ b/src/app/process_lock_file.cpp
@@ -2,6 +2,8 @@
 
 #include <fcntl.h>
 
+#include <cerrno>
+
 namespace rookproxy {
 namespace {
 
@@ -18,6 +20,14 @@
   return lock;
 }
 
+// Ids are random, so that two of them differ in the bits that fit an offset.
+struct flock claim_lock(decltype(flock::l_type) type, ExecutionClaims::ExecutionId id) {
+  constexpr int kUnusedBits = 2;
+  struct flock lock = record_lock(type, kSlots, 0);
+  lock.l_start += static_cast<off_t>(id >> kUnusedBits);
+  return lock;
+}
+
 }  // namespace
 
 ProcessLockFile::ProcessLockFile(const std::string& file)
@@ -37,6 +47,19 @@
   if (is_acquired()) static_cast<void>(set_lock(slot_, kReady, ready));
 }
 
+ClaimResult ProcessLockFile::try_claim(ExecutionId id) {
+  if (!is_acquired()) return ClaimResult::kClaimed;
+  struct flock lock = claim_lock(F_WRLCK, id);
+  if (::fcntl(file_.get(), F_SETLK, &lock) == 0) return ClaimResult::kClaimed;
+  return errno == EAGAIN || errno == EACCES ? ClaimResult::kHeldByOther : ClaimResult::kUnavailable;
+}
+
+void ProcessLockFile::release_claim(ExecutionId id) {
+  struct flock lock = claim_lock(F_UNLCK, id);
+  // A claim that can't be released is refused to other processes until this one ends.
+  if (is_acquired()) static_cast<void>(::fcntl(file_.get(), F_SETLK, &lock));
+}
+
 // Queries the locks without taking them: a lock held for a moment could keep another process from its slot.
 bool ProcessLockFile::another_holds(LockByte byte) const {
   if (!is_acquired()) return false;
--- a/src/app/process_lock_file.h
+++ b/src/app/process_lock_file.h
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "dispatcher/execution_claims.h"
 #include "net/file_descriptor.h"
 #include "net/socket_address.h"
 #include "net/sockets.h"
@@ -11,9 +12,10 @@
 namespace rookproxy {
 
 // Record locks on a file in the shared folder. Each process has a slot with two locks: one means that it
-// runs, the other that it is ready. The kernel releases them when a process ends, however it ends. Used by
-// one thread.
-class ProcessLockFile {
+// runs, the other that it is ready. Behind the slots there is a byte for each id of an execution, which is
+// locked by the process that claims it. The kernel releases them when a process ends, however it ends. Used
+// by one thread.
+class ProcessLockFile final : public ExecutionClaims {
  public:
   // Creates the file if it is missing and acquires a slot. If that fails, as in a read-only folder, no other
   // process is seen.
@@ -23,6 +25,9 @@
 
   void set_ready(bool ready);
 
+  [[nodiscard]] ClaimResult try_claim(ExecutionId id) override;
+  void release_claim(ExecutionId id) override;
+
   [[nodiscard]] bool another_is_running() const { return another_holds(kRunning); }
   [[nodiscard]] bool another_is_ready() const { return another_holds(kReady); }
 
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -78,12 +78,11 @@
   request.incoming.deadline -= limits_.response_margin;
   request.handler = &handler;
   request.correlation_id = correlation_id;
-  const bool overloaded =
-      !try_hold(*incoming.query) || requests_.unanswered() >= limits_.max_unanswered_requests;
+  const auto refusal = find_refusal(request);
   settings_.add_request(incoming.class_index);
   const RequestKey key = requests_.add(std::move(request));
-  if (overloaded) {
-    reject_overloaded(key);
+  if (refusal) {
+    respond_without_attempts(key, *refusal);
     return key;
   }
   const IncomingRequest& accepted = requests_.find(key)->incoming;
@@ -97,11 +96,47 @@
   return query.memory.try_add(query.bytes());
 }
 
-// Rejects a request that has no attempts. The response is deferred, since handlers get no response within
-// submit().
-void Dispatcher::reject_overloaded(RequestKey key) {
-  loop_.defer([this, key] {
-    finish(key, Response::rejected(overload_retry_after(), ResponseCause::kOverloaded));
+// Returns the response if the request must not run. Otherwise its query's memory and its execution are
+// registered.
+std::optional<Response> Dispatcher::find_refusal(Request& request) {
+  Query& query = *request.incoming.query;
+  if (!try_hold(query) || requests_.unanswered() >= limits_.max_unanswered_requests) {
+    return Response::rejected(overload_retry_after(), ResponseCause::kOverloaded);
+  }
+  if (!query.execution_id) return std::nullopt;
+  auto refusal = register_execution(*query.execution_id);
+  request.is_registered = !refusal;
+  return refusal;
+}
+
+// A client that left may send the same id again while the first request runs, or after it has run.
+std::optional<Response> Dispatcher::register_execution(policy::ExecutionRegistry::ExecutionId id) {
+  for (const auto expired : executions_.take_expired(loop_.now())) {
+    if (execution_claims_) execution_claims_->release_claim(expired);
+  }
+  const policy::ExecutionAdmission admission = executions_.begin(id);
+  if (admission == policy::ExecutionAdmission::kMayHaveRun) return Response::failed(ResponseCause::kRepeated);
+  if (admission == policy::ExecutionAdmission::kRegistryFull) {
+    return Response::rejected(overload_retry_after(), ResponseCause::kOverloaded);
+  }
+  const ClaimResult claim = execution_claims_ ? execution_claims_->try_claim(id) : ClaimResult::kClaimed;
+  if (claim == ClaimResult::kClaimed) return std::nullopt;
+  executions_.end(id, false, loop_.now());
+  if (claim == ClaimResult::kHeldByOther) return Response::failed(ResponseCause::kRepeated);
+  return Response::rejected(overload_retry_after(), ResponseCause::kOverloaded);
+}
+
+void Dispatcher::end_execution(const Request& request) {
+  if (!request.is_registered) return;
+  const auto id = *request.incoming.query->execution_id;
+  executions_.end(id, request.may_have_run(), loop_.now());
+  if (execution_claims_ && !request.may_have_run()) execution_claims_->release_claim(id);
+}
+
+// The response is deferred, since handlers get no response within submit().
+void Dispatcher::respond_without_attempts(RequestKey key, const Response& response) {
+  loop_.defer([this, key, response] {
+    finish(key, response);
     release_if_done(key);
   });
 }
@@ -430,6 +465,7 @@
   auto released = requests_.release_if_done(key);
   if (!released) return;
   loop_.cancel(released->routing_timer);
+  end_execution(*released);
   settings_.remove_request(released->incoming.class_index);
 }
 
--- a/src/dispatcher/dispatcher.h
+++ b/src/dispatcher/dispatcher.h
@@ -16,6 +16,7 @@
 #include "dispatcher/engine_endpoint.h"
 #include "dispatcher/engine_registry.h"
 #include "dispatcher/engine_transport.h"
+#include "dispatcher/execution_claims.h"
 #include "dispatcher/limits.h"
 #include "dispatcher/metrics.h"
 #include "dispatcher/request.h"
@@ -24,6 +25,7 @@
 #include "dispatcher/routing_time.h"  // Used by callers that convert settings.
 #include "log/log.h"
 #include "net/event_loop.h"
+#include "policy/execution_registry.h"
 #include "rookproxy/routing/router.h"
 
 namespace rookproxy {
@@ -46,6 +48,10 @@
     engines_.set_transport(transport);
   }
 
+  // Sets the claims shared with the other processes of this dispatcher; without them there are none. They
+  // must outlive the dispatcher.
+  void set_execution_claims(ExecutionClaims& claims) { execution_claims_ = &claims; }
+
   // ---- settings
 
   // Changes the settings. During a transition period, in which clients may still use the previous settings,
@@ -114,7 +120,10 @@
   void apply_settings(const routing::Settings& settings);
 
   [[nodiscard]] bool try_hold(Query& query) const;
-  void reject_overloaded(RequestKey key);
+  [[nodiscard]] std::optional<Response> find_refusal(Request& request);
+  [[nodiscard]] std::optional<Response> register_execution(policy::ExecutionRegistry::ExecutionId id);
+  void end_execution(const Request& request);
+  void respond_without_attempts(RequestKey key, const Response& response);
   void schedule_deadline(RequestKey key, Time deadline);
   void queue_arrival(RequestKey key, const IncomingRequest& incoming);
 
@@ -158,6 +167,9 @@
   EngineRegistry engines_{loop_, log_, settings_, limits_};
   AttemptRules attempt_rules_{settings_, engines_};
   RequestLog request_log_;
+  policy::ExecutionRegistry executions_;
+  // Null if no other process may run requests of the same clients.
+  ExecutionClaims* execution_claims_ = nullptr;
   // The events since the last call of process_events().
   std::vector<routing::Event> events_;
   // A member so that its memory is reused.
--- a/src/dispatcher/request.h
+++ b/src/dispatcher/request.h
@@ -29,6 +29,8 @@
   std::string class_name;
   // The key by which engines recognize repeated requests of a keyed class; empty: none.
   std::string idempotency_key;
+  // The client's id as a number, if the client may send it again and the request must not run twice.
+  std::optional<std::uint64_t> execution_id;
   // The bytes of the statement as received.
   std::string statement;
   Kind kind = Kind::kStatement;
@@ -75,7 +77,7 @@
 enum class ResponseStatus { kServed, kRejected, kFailed };
 
 // Why a request was not served.
-enum class ResponseCause { kNone, kDecision, kDeadline, kEngineError, kOverloaded, kShuttingDown };
+enum class ResponseCause { kNone, kDecision, kDeadline, kEngineError, kOverloaded, kShuttingDown, kRepeated };
 
 // The one response to a request.
 struct Response {
--- a/src/dispatcher/request_log.cpp
+++ b/src/dispatcher/request_log.cpp
@@ -45,6 +45,8 @@
       return "overloaded";
     case ResponseCause::kShuttingDown:
       return "shutting_down";
+    case ResponseCause::kRepeated:
+      return "repeated";
   }
   return "";
 }
--- a/src/dispatcher/request_table.h
+++ b/src/dispatcher/request_table.h
@@ -36,6 +36,8 @@
   ResponseHandler* handler = nullptr;
   std::uint64_t correlation_id = 0;
   bool is_completed = false;
+  // Whether the registry of executions has admitted it.
+  bool is_registered = false;
   int attempts_in_flight = 0;
   int priority = 1;
   std::optional<double> memory_grant_mb;
--- a/src/frontend/frame_request.cpp
+++ b/src/frontend/frame_request.cpp
@@ -1,6 +1,7 @@
 #include "frontend/frame_request.h"
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <cmath>
 #include <memory>
@@ -33,6 +34,14 @@
          (character >= 'A' && character <= 'F');
 }
 
+// The text must be a call id.
+std::uint64_t parse_call_id(std::string_view text) {
+  constexpr int kHexadecimal = 16;
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number, kHexadecimal);
+  return number;
+}
+
 bool is_call_id(std::string_view text) {
   return text.size() == kCallIdLength && std::all_of(text.begin(), text.end(), is_hex_digit);
 }
@@ -156,6 +165,7 @@
   query->statement = statement_;
   query->writes = settings.idempotency == routing::Idempotency::kNonIdempotent;
   query->is_idempotent = settings.idempotency == routing::Idempotency::kIdempotent;
+  if (!query->is_idempotent) query->execution_id = parse_call_id(*call_id_);
   IncomingRequest incoming;
   incoming.query = std::move(query);
   incoming.class_index = *class_index_;
--- a/src/frontend/frames_frontend.cpp
+++ b/src/frontend/frames_frontend.cpp
@@ -23,6 +23,8 @@
       return "too much is held already";
     case ResponseCause::kShuttingDown:
       return "the dispatcher stops";
+    case ResponseCause::kRepeated:
+      return "a request with its id may have run";
     case ResponseCause::kNone:
     case ResponseCause::kDecision:
       break;
