--- a/tests/integration/mysql_engine_session_test.cpp
+++ b/tests/integration/mysql_engine_session_test.cpp
@@ -30,6 +30,13 @@
   return std::string(1, static_cast<char>(code)) + arguments;
 }
 
+// The query that looks for the session before it is killed.
+std::string find_session(const ScriptedMysqlSession& session) {
+  return command(mysql::kQuery,
+                 "SELECT ID FROM information_schema.PROCESSLIST WHERE ID = 7 AND HOST LIKE '%:" +
+                     std::to_string(session.client_port()) + "'");
+}
+
 // A pool with one engine, and the ends of its attempts.
 class PoolFixture final : public EngineTransportCallbacks {
  public:
@@ -283,6 +290,8 @@
   CHECK(fixture.held_results() == 0);
   // A connection for KILL QUERY is opened beside it.
   ScriptedMysqlSession kill(fixture.loop, fixture.listener);
+  CHECK(kill.read_command() == find_session(session));
+  kill.send_found(true);
   CHECK(kill.read_command() == command(mysql::kQuery, "KILL QUERY 7"));
   session.send_bytes(half);
   for (std::uint8_t row = 1; row < 20; ++row) {
@@ -295,6 +304,25 @@
   CHECK(session.wait_for_end());
 }
 
+TEST_CASE("mysql session: a query is killed only at the process that runs it") {
+  // Guards against a kill that ends another client's query, at a new process at the engine's address.
+  const bool is_same_process = GENERATE(false, true);
+  PoolFixture fixture;
+  const AttemptKey cancelled = fixture.send(Query::Kind::kStatement, "SELECT 1");
+  ScriptedMysqlSession session(fixture.loop, fixture.listener);
+  (void)session.read_command();
+  REQUIRE_FALSE(fixture.pool.cancel(cancelled));
+  ScriptedMysqlSession kill(fixture.loop, fixture.listener);
+  CHECK(kill.read_command() == find_session(session));
+  kill.send_found(is_same_process);
+  if (is_same_process) {
+    CHECK(kill.read_command() == command(mysql::kQuery, "KILL QUERY 7"));
+  } else {
+    CHECK(kill.wait_for_end());
+    CHECK_FALSE(kill.has_command());
+  }
+}
+
 TEST_CASE("mysql session: a response is the same however its bytes arrive") {
   // Guards against packets that are read differently when a read ends in the middle of them.
   std::uint8_t sequence = 1;
--- a/tests/support/scripted_mysql_session.cpp
+++ b/tests/support/scripted_mysql_session.cpp
@@ -1,5 +1,6 @@
 #include "support/scripted_mysql_session.h"
 
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include "mysql/protocol.h"
@@ -72,6 +73,22 @@
   send_packet(payload);
 }
 
+void ScriptedMysqlSession::send_found(bool found) {
+  const std::string end("\xfe\0\0\2\0", 5);
+  send_packet("\1");
+  send_packet("column definition");
+  send_packet(end);
+  if (found) send_packet(std::string("\1") + "7");
+  send_packet(end);
+}
+
+std::uint16_t ScriptedMysqlSession::client_port() const {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  ::getpeername(socket_.get(), reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
+
 void ScriptedMysqlSession::send_bytes(std::string_view bytes) {
   require(run_until(loop_,
                     [&] {
--- a/tests/support/scripted_mysql_session.h
+++ b/tests/support/scripted_mysql_session.h
@@ -27,6 +27,10 @@
   void send_prepared(std::uint32_t statement_id);
   // Sends bytes as they are.
   void send_bytes(std::string_view bytes);
+  // Sends a result of one column, and one row if it is found.
+  void send_found(bool found);
+  // The port of the dispatcher's side.
+  [[nodiscard]] std::uint16_t client_port() const;
   // Waits until the dispatcher has closed the connection.
   [[nodiscard]] bool wait_for_end();
 
