Fix: KILL QUERY reached another process that had taken an engine's address

Callers saw queries and loads of other clients that were interrupted and answered as failed: a machine vanished with reads on it, a new process took its address, and the readers left.

Cause: the query to kill was identified by its session's number alone, which each process counts anew.

The connection that kills looks for the session first, by its number and the dispatcher's port, and kills on the same connection only if it is there; the port stays taken while the dispatcher holds the old connection. policy::EngineSession decides (new command and states, in the test of all orders). Where a NAT changes ports, no query is killed.

--- a/src/fakes/fake_mysql_engine_state.cpp
+++ b/src/fakes/fake_mysql_engine_state.cpp
@@ -2,13 +2,20 @@
 
 namespace rookproxy::test {
 
-FakeMysqlEngineState::Registration FakeMysqlEngineState::register_connection() {
+FakeMysqlEngineState::Registration FakeMysqlEngineState::register_connection(std::uint16_t client_port) {
   const std::lock_guard lock(mutex_);
   const Registration registration{next_connection_id_++, std::make_shared<std::atomic<bool>>(false)};
   kill_flags_[registration.connection_id] = registration.kill_flag;
+  client_ports_[registration.connection_id] = client_port;
   return registration;
 }
 
+bool FakeMysqlEngineState::has_connection(std::uint32_t connection_id, std::uint16_t client_port) {
+  const std::lock_guard lock(mutex_);
+  const auto found = client_ports_.find(connection_id);
+  return found != client_ports_.end() && found->second == client_port;
+}
+
 void FakeMysqlEngineState::kill_query(std::uint32_t connection_id) {
   const std::lock_guard lock(mutex_);
   const auto found = kill_flags_.find(connection_id);
--- a/src/fakes/fake_mysql_engine_state.h
+++ b/src/fakes/fake_mysql_engine_state.h
@@ -21,7 +21,10 @@
     std::uint32_t connection_id;
     KillFlag kill_flag;
   };
-  [[nodiscard]] Registration register_connection();
+  [[nodiscard]] Registration register_connection(std::uint16_t client_port);
+
+  // Returns whether a connection has this id and comes from this port.
+  [[nodiscard]] bool has_connection(std::uint32_t connection_id, std::uint16_t client_port);
 
   // Requests the connection to end its statement. Does nothing if the id is unknown.
   void kill_query(std::uint32_t connection_id);
@@ -39,6 +42,7 @@
   std::mutex mutex_;
   std::uint32_t next_connection_id_ = 1;
   std::map<std::uint32_t, KillFlag> kill_flags_;
+  std::map<std::uint32_t, std::uint16_t> client_ports_;
   std::vector<std::string> executed_statements_;
   std::vector<std::string> prepared_statements_;
   std::atomic<bool> stop_requested_{false};
--- a/src/fakes/fake_mysql_session.cpp
+++ b/src/fakes/fake_mysql_session.cpp
@@ -1,5 +1,8 @@
 #include "fakes/fake_mysql_session.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <chrono>
@@ -27,10 +30,22 @@
 constexpr std::uint64_t kColumnLength = 255;
 constexpr std::size_t kBinaryRowHeaderSize = 2;  // a zero byte and the null bitmap of one column
 
+// The start of the query by which a client looks for a session of its own.
+constexpr const char* kFindSession = "SELECT ID FROM information_schema.PROCESSLIST WHERE ID = ";
+
+std::uint16_t peer_port(const FileDescriptor& fd) {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  ::getpeername(fd.get(), reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
+
 }  // namespace
 
 FakeMysqlSession::FakeMysqlSession(FileDescriptor fd, FakeMysqlEngineState& engine)
-    : connection_(std::move(fd)), engine_(engine), registration_(engine.register_connection()) {}
+    : connection_(std::move(fd)),
+      engine_(engine),
+      registration_(engine.register_connection(peer_port(connection_.fd()))) {}
 
 void FakeMysqlSession::run() {
   if (!log_in()) return;
@@ -176,6 +191,14 @@
     reply(mysql::ok_payload());
     return Outcome::kContinue;
   }
+  if (text.starts_with(kFindSession)) {
+    const auto id = static_cast<std::uint32_t>(*find_number_after(text, kFindSession));
+    const auto port = static_cast<std::uint16_t>(*find_number_after(text, "LIKE '%:"));
+    StatementBehavior rows;
+    rows.row_count = engine_.has_connection(id, port) ? 1 : 0;
+    reply_rows(rows, format);
+    return Outcome::kContinue;
+  }
   const StatementBehavior behavior = StatementBehavior::parse(text);
   if (behavior.is_rejected) {
     reply(mysql::error_payload(mysql::kTooManyConnections, "Too many connections"));
--- a/src/policy/engine_session.cpp
+++ b/src/policy/engine_session.cpp
@@ -5,18 +5,19 @@
 namespace rookproxy::policy {
 
 bool EngineSession::is_awaited_by_attempt() const {
-  return awaited_ && *awaited_ != SessionCommand::kPing && *awaited_ != SessionCommand::kKill;
+  return awaited_ && *awaited_ != SessionCommand::kPing && *awaited_ != SessionCommand::kFindKillTarget &&
+         *awaited_ != SessionCommand::kKill;
 }
 
 // A statement without a schema must not run in a session that has one, because its unqualified table names
 // would resolve.
 bool EngineSession::can_accept(std::string_view required_schema) const {
-  if (attempt_ || retired_ || kills_ || is_awaited_by_attempt()) return false;
+  if (attempt_ || retired_ || kills() || is_awaited_by_attempt()) return false;
   return schema_.empty() || !required_schema.empty();
 }
 
 bool EngineSession::can_probe() const {
-  return !attempt_ && !retired_ && !kills_ && !is_awaited_by_attempt();
+  return !attempt_ && !retired_ && !kills() && !is_awaited_by_attempt();
 }
 
 void EngineSession::assign(SessionAttempt attempt) { attempt_ = std::move(attempt); }
@@ -30,7 +31,16 @@
 std::optional<SessionCommand> EngineSession::next_command(bool is_prepared) const {
   using Kind = SessionAttempt::Kind;
   if (awaited_) return std::nullopt;
-  if (kills_) return SessionCommand::kKill;
+  switch (kill_state_) {
+    case KillState::kNone:
+      break;
+    case KillState::kSearching:
+      return SessionCommand::kFindKillTarget;
+    case KillState::kFound:
+      return SessionCommand::kKill;
+    case KillState::kGone:
+      return std::nullopt;
+  }
   if (ping_requested_) return SessionCommand::kPing;
   if (!attempt_) return std::nullopt;
   if (attempt_->kind == Kind::kUseSchema) return SessionCommand::kExecute;
--- a/src/policy/engine_session.h
+++ b/src/policy/engine_session.h
@@ -7,7 +7,10 @@
 //                               was cancelled    accepted after the response, which belongs to nobody
 //   execute                     waits            not accepted
 //                               was cancelled    never accepted: the session is retired
-//   kill                        -                never accepted: the session is dedicated to the kill
+//   find kill target, kill      -                never accepted: the session is dedicated to the kill
+//
+// A kill is sent only once its session has found the query's session: another process may have come up at the
+// engine's address, with a session of the same number.
 //
 // So an awaited response always belongs to the attempt that sent the command, or to nobody.
 #pragma once
@@ -19,7 +22,7 @@
 namespace rookproxy::policy {
 
 // The commands of a session.
-enum class SessionCommand { kSelectSchema, kPrepare, kExecute, kPing, kKill };
+enum class SessionCommand { kSelectSchema, kPrepare, kExecute, kPing, kFindKillTarget, kKill };
 
 // What an attempt does in its session.
 struct SessionAttempt {
@@ -52,7 +55,9 @@
   // Sends a ping once no response is awaited.
   void request_ping() { ping_requested_ = true; }
   // Uses the session only for a kill. It takes no attempts.
-  void dedicate_to_kill() { kills_ = true; }
+  void dedicate_to_kill() { kill_state_ = KillState::kSearching; }
+  // Must be called after the response to kFindKillTarget. Without a target nothing is killed.
+  void on_kill_target_searched(bool found) { kill_state_ = found ? KillState::kFound : KillState::kGone; }
   // The session takes no further attempts.
   void retire() { retired_ = true; }
 
@@ -69,7 +74,11 @@
   [[nodiscard]] const std::string& schema() const { return schema_; }
 
  private:
+  // kNone: the session is not dedicated to a kill.
+  enum class KillState { kNone, kSearching, kFound, kGone };
+
   [[nodiscard]] bool is_awaited_by_attempt() const;
+  [[nodiscard]] bool kills() const { return kill_state_ != KillState::kNone; }
 
   std::optional<SessionAttempt> attempt_;
   std::optional<SessionCommand> awaited_;
@@ -78,7 +87,7 @@
   // A session's schema can be changed but not unset.
   std::string schema_;
   bool ping_requested_ = false;
-  bool kills_ = false;
+  KillState kill_state_ = KillState::kNone;
   bool retired_ = false;
 };
 
--- a/src/upstream/engine_connection.cpp
+++ b/src/upstream/engine_connection.cpp
@@ -5,6 +5,7 @@
 
 #include "net/file_descriptor.h"
 #include "net/slot_map.h"
+#include "net/sockets.h"
 #include "upstream/connection_pool.h"
 
 namespace rookproxy {
@@ -19,6 +20,7 @@
       responsiveness_(pool.loop_, pool.limits_, [this] { on_unresponsive(); }) {}
 
 void EngineConnection::open(FileDescriptor socket, std::size_t input_limit) {
+  local_port_ = rookproxy::local_port(socket);
   stream_ = std::make_unique<Stream>(pool_.loop_, std::move(socket), *this, true, input_limit);
   connect_timer_.set(current_time() + limits().connect_timeout,
                      [this] { pool_.close_connection(key_, "connect: timed out"); });
--- a/src/upstream/engine_connection.h
+++ b/src/upstream/engine_connection.h
@@ -114,6 +114,8 @@
   void record_activity() { responsiveness_.record_activity(); }
   [[nodiscard]] const PoolLimits& limits() const;
   [[nodiscard]] Time current_time() const;
+  // Returns the dispatcher's port of the connection.
+  [[nodiscard]] std::uint16_t local_port() const { return local_port_; }
   // Logs a command about a request if it is sent to an engine that takes no new attempts.
   void log_command(std::string_view command, std::string_view request) const;
   // Returns the counter of attempts that were passed to the kernel completely.
@@ -128,6 +130,7 @@
   SlotKey key_;
   EngineId engine_;
   std::unique_ptr<Stream> stream_;
+  std::uint16_t local_port_ = 0;
   std::size_t open_attempts_ = 0;
   // True if an open attempt writes and so can't be repeated.
   bool carries_write_ = false;
--- a/src/upstream/mysql_connection.cpp
+++ b/src/upstream/mysql_connection.cpp
@@ -43,8 +43,8 @@
   return session_.can_accept(session_schema(*query));
 }
 
-void MysqlConnection::set_kill_target(std::uint32_t engine_connection_id) {
-  kill_target_ = engine_connection_id;
+void MysqlConnection::set_kill_target(const MysqlSessionId& session) {
+  kill_target_ = session;
   session_.dedicate_to_kill();
 }
 
@@ -147,8 +147,14 @@
   }
   const std::optional<SessionCommand> command = session_.next_command(prepared_id.has_value());
   if (!command) return;
+  if (*command == SessionCommand::kFindKillTarget) {
+    const std::string statement =
+        "SELECT ID FROM information_schema.PROCESSLIST WHERE ID = " + std::to_string(kill_target_.number) +
+        " AND HOST LIKE '%:" + std::to_string(kill_target_.client_port) + "'";
+    return send_command(*command, mysql::kQuery, {statement, ""});
+  }
   if (*command == SessionCommand::kKill) {
-    const std::string statement = "KILL QUERY " + std::to_string(kill_target_);
+    const std::string statement = "KILL QUERY " + std::to_string(kill_target_.number);
     return send_command(*command, mysql::kQuery, {statement, ""});
   }
   if (*command == SessionCommand::kPing) return send_command(*command, mysql::kPing, {});
@@ -204,7 +210,7 @@
   // through another connection. A statement that writes runs to its end, because a partial write may be worse
   // than a complete one.
   if (writes) return false;
-  mysql_pool_.kill_query(engine(), engine_connection_id_);
+  mysql_pool_.kill_query(engine(), {engine_connection_id_, local_port()});
   // Closes the connection if the response is still incomplete when the request can no longer be repeated.
   set_response_deadline(current_time() + limits().request_id_retention);
   return false;
@@ -298,9 +304,11 @@
   return false;
 }
 
-// An attempt may be assigned while the login or a ping still goes on; it waits for other responses.
+// An attempt may be assigned while the login or a ping still goes on; it waits for other responses. The
+// search for a kill's target is no attempt.
 bool MysqlConnection::is_response_kept() const {
-  return login_state_ == LoginState::kComplete && attempt_.has_value();
+  const bool is_awaited = attempt_.has_value() || session_.is_awaiting(SessionCommand::kFindKillTarget);
+  return login_state_ == LoginState::kComplete && is_awaited;
 }
 
 // Returns the size of the payload, or nothing if the connection had to be closed.
@@ -348,6 +356,9 @@
 void MysqlConnection::on_response_complete() {
   const policy::SessionResponse response = session_.on_response(tracker_.failed());
   switch (response.command) {
+    case SessionCommand::kFindKillTarget:
+      on_kill_target_searched();
+      break;
     case SessionCommand::kKill:
       return fail_connection("kill command complete");
     case SessionCommand::kPing:
@@ -369,6 +380,17 @@
   send_next_command();
 }
 
+void MysqlConnection::on_kill_target_searched() {
+  bool found = false;
+  try {
+    found = !tracker_.failed() && !mysql::format_rows(response_.take()).empty();
+  } catch (const mysql::MalformedPacketError&) {
+    found = false;
+  }
+  session_.on_kill_target_searched(found);
+  if (!found) fail_connection("query not killed: its session is not at this engine");
+}
+
 void MysqlConnection::on_prepared(bool belongs_to_attempt) {
   if (tracker_.failed()) {
     if (belongs_to_attempt) complete_from_response(policy::AttemptProgress::kNotRequested);
--- a/src/upstream/mysql_connection.h
+++ b/src/upstream/mysql_connection.h
@@ -14,6 +14,7 @@
 #include "policy/execution_evidence.h"
 #include "upstream/engine_connection.h"
 #include "upstream/engine_statement_cache.h"
+#include "upstream/mysql_session_id.h"
 #include "upstream/response_buffer.h"
 
 namespace rookproxy {
@@ -33,7 +34,7 @@
   std::size_t on_bytes(std::string_view bytes) override;
   // Dedicates this connection to killing the query that runs on the given connection of the engine. It is
   // closed afterwards and serves no attempts.
-  void set_kill_target(std::uint32_t engine_connection_id);
+  void set_kill_target(const MysqlSessionId& session);
 
  private:
   // The progress of the login.
@@ -77,6 +78,7 @@
   void reject_large_result();
   void on_response_complete();
   void on_prepared(bool belongs_to_attempt);
+  void on_kill_target_searched();
   void on_executed(bool belongs_to_attempt);
   void complete_from_response(policy::AttemptProgress progress);
   [[nodiscard]] Outcome handle_statement_error(std::uint16_t code, policy::AttemptProgress progress);
@@ -94,7 +96,7 @@
   std::uint8_t sequence_ = 0;
   std::uint32_t engine_connection_id_ = 0;
   std::string nonce_;
-  std::uint32_t kill_target_ = 0;
+  MysqlSessionId kill_target_;
   // The attempt that the session has; the two are set and ended together.
   std::optional<AttemptRequest> attempt_;
   // The write of the command that runs the attempt's statement.
--- a/src/upstream/mysql_pool.cpp
+++ b/src/upstream/mysql_pool.cpp
@@ -20,9 +20,9 @@
   return std::make_unique<MysqlConnection>(*this, key, engine);
 }
 
-void MysqlPool::kill_query(EngineId engine, std::uint32_t engine_connection_id) {
+void MysqlPool::kill_query(EngineId engine, const MysqlSessionId& session) {
   EngineConnection* connection = open_connection(engine).connection;
-  if (connection) static_cast<MysqlConnection*>(connection)->set_kill_target(engine_connection_id);
+  if (connection) static_cast<MysqlConnection*>(connection)->set_kill_target(session);
 }
 
 }  // namespace rookproxy
--- a/src/upstream/mysql_pool.h
+++ b/src/upstream/mysql_pool.h
@@ -11,6 +11,7 @@
 #include "net/slot_map.h"
 #include "policy/memory_ledger.h"
 #include "upstream/connection_pool.h"
+#include "upstream/mysql_session_id.h"
 
 namespace rookproxy {
 
@@ -33,9 +34,9 @@
   // The limit for one result, in bytes. The limits for all are those of memory().
   [[nodiscard]] std::size_t max_result_bytes() const { return max_result_bytes_; }
   [[nodiscard]] const std::shared_ptr<policy::MemoryLedger>& memory() const { return memory_; }
-  // Opens a connection that kills the query running on the given connection of the engine and is then closed.
+  // Opens a connection that kills the query running on the given session of the engine and is then closed.
   // Does nothing if no connection can be opened.
-  void kill_query(EngineId engine, std::uint32_t engine_connection_id);
+  void kill_query(EngineId engine, const MysqlSessionId& session);
 
  private:
   // Connections leave no more than a part of a packet's header in their stream's input.
--- a/tests/policy/engine_session_test.cpp
+++ b/tests/policy/engine_session_test.cpp
@@ -42,13 +42,15 @@
   bool was_executed = false;
   bool was_abandoned = false;
   bool is_killing = false;
+  bool is_kill_target_found = false;
   std::string broken_rule;
 
   void check(bool holds, const std::string& rule) {
     if (!holds && broken_rule.empty()) broken_rule = rule;
   }
   [[nodiscard]] bool sends_for_attempt() const {
-    return received && received->command != Command::kPing && received->command != Command::kKill;
+    return received && received->command != Command::kPing && received->command != Command::kFindKillTarget &&
+           received->command != Command::kKill;
   }
 
   void end_attempt() {
@@ -64,6 +66,7 @@
       received =
           ReceivedCommand{*command, attempt ? attempt_number : kNobody, attempt ? attempt->schema : ""};
       session.on_command_sent(*command);
+      check(*command != Command::kKill || is_kill_target_found, "only a session that was found is killed");
       if (!sends_for_attempt()) continue;
       check(attempt.has_value(), "no command without an attempt");
       if (!attempt) continue;
@@ -93,6 +96,10 @@
     const SessionResponse response = session.on_response(failed);
     check(response.command == answered.command, "the response is that to the command that was sent");
     check(response.belongs_to_attempt == belongs, "a response belongs to the attempt that sent the command");
+    if (answered.command == Command::kFindKillTarget) {
+      is_kill_target_found = !failed;
+      session.on_kill_target_searched(!failed);
+    }
     // A statement whose preparation nobody waits for is closed by the caller.
     if (!failed && belongs && answered.command == Command::kPrepare) prepared_in.insert(engine_schema);
     const bool completes =
@@ -186,6 +193,7 @@
   key += world.was_executed ? "x" : "-";
   key += world.was_abandoned ? "r" : "-";
   key += world.is_killing ? "k" : "-";
+  key += world.is_kill_target_found ? "f" : "-";
   key += world.session.can_accept("") ? "e" : "-";
   key += world.session.can_accept("a") ? "a" : "-";
   key += world.session.can_probe() ? "p" : "-";
