--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -173,6 +173,7 @@
 void Dispatcher::cancel_request(RequestKey key) {
   Request* request = requests_.find(key);
   if (!request || request->is_completed) return;
+  request_log_.request_cancelled(*request, loop_.now());
   request->handler = nullptr;
   finish(key, {});
   queue_event(routing::ClientDisconnected{key});
@@ -187,6 +188,7 @@
   Gauges gauges;
   gauges.requests_in_progress = requests_.unanswered();
   gauges.engines_listed = engines_.listed_count();
+  gauges.interrupted_input_turns = loop_.interrupted_turns();
   gauges.engines_avoided = router_.avoided_engines(to_routing_time(loop_.now()));
   return gauges;
 }
--- a/src/dispatcher/request_log.cpp
+++ b/src/dispatcher/request_log.cpp
@@ -92,6 +92,15 @@
               {"ms", milliseconds_field(now - request.attempts[number].sent_at)}});
 }
 
+void RequestLog::request_cancelled(const Request& request, Time now) {
+  if (!reserve_line(now)) return;
+  log_.write(LogLevel::kInfo, kLogId, "request cancelled by its client",
+             {{"request", request.incoming.query->id},
+              {"attempts", std::to_string(request.attempts.size())},
+              {"in_flight", std::to_string(request.attempts_in_flight)},
+              {"remaining_ms", milliseconds_field(request.incoming.deadline - now)}});
+}
+
 void RequestLog::request_completed(const Request& request, std::string_view class_name,
                                    const Response& response, Time now) {
   if (response.status == ResponseStatus::kServed || !reserve_line(now)) return;
--- a/src/dispatcher/request_log.h
+++ b/src/dispatcher/request_log.h
@@ -29,6 +29,8 @@
   // To be called when an attempt has ended. Writes nothing if it was served.
   void attempt_ended(const Request& request, std::uint32_t number, std::string_view engine,
                      routing::Outcome outcome, Time now);
+  // The client cancelled the request or left.
+  void request_cancelled(const Request& request, Time now);
   // To be called when a request is answered. Writes nothing if it was served.
   void request_completed(const Request& request, std::string_view class_name, const Response& response,
                          Time now);
--- a/src/frontend/frames_connection.cpp
+++ b/src/frontend/frames_connection.cpp
@@ -254,7 +254,7 @@
 // requests are rejected immediately as long as the input can still be split into frames.
 void FramesFrontend::Connection::protocol_error(std::string_view reason) {
   if (closing_) return;
-  frontend_.log_.write(LogLevel::kNotice, "frames", reason, {});
+  frontend_.log_client_error(LogLevel::kNotice, key_, reason);
   stream_.write_batched(frames::encode_response(0, frames::kFailed, {}, reason));
   stop_accepting_requests();
   if (open_requests_.empty()) close_gracefully();
--- a/src/frontend/frames_connection_requests.cpp
+++ b/src/frontend/frames_connection_requests.cpp
@@ -247,7 +247,7 @@
 }
 
 void FramesFrontend::Connection::fail_request(std::uint32_t stream_id, std::string_view reason) {
-  frontend_.log_.write(LogLevel::kInfo, "frames", reason, {});
+  frontend_.log_client_error(LogLevel::kInfo, key_, reason);
   respond(stream_id, frames::kFailed, {}, reason);
 }
 
--- a/src/frontend/frames_frontend.cpp
+++ b/src/frontend/frames_frontend.cpp
@@ -121,6 +121,14 @@
   for (const SlotKey correlation_id : connection->take_open_requests()) cancel_request(correlation_id);
 }
 
+// Limited, so that the errors of some clients don't use up the log's limit for all lines.
+void FramesFrontend::log_client_error(LogLevel level, SlotKey connection, std::string_view reason) {
+  if (!log_.is_enabled(level) || !client_error_log_limiter_.allow(loop_.now())) return;
+  log_.write(level, "frames", reason,
+             {{"connection", std::to_string(connection)},
+              {"left_out", std::to_string(client_error_log_limiter_.take_suppressed())}});
+}
+
 void FramesFrontend::accept(FileDescriptor fd) {
   if (is_full()) evict_idle_connection();
   // When all client descriptors are in use, the connection that started to close first is dropped.
--- a/src/frontend/frames_frontend.h
+++ b/src/frontend/frames_frontend.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_set>
 #include <vector>
 
@@ -16,6 +17,7 @@
 #include "frontend/connection_table.h"
 #include "frontend/frame_codec.h"
 #include "frontend/turn_scheduler.h"
+#include "log/log_rate_limiter.h"
 #include "net/acceptor.h"
 #include "net/event_loop.h"
 #include "net/file_descriptor.h"
@@ -89,6 +91,7 @@
     policy::MemoryHolding memory{};
   };
   void accept(FileDescriptor fd);
+  void log_client_error(LogLevel level, SlotKey connection, std::string_view reason);
   void drop(SlotKey key);
   // Returns the number of client descriptors that are reserved for connections that are closing gracefully.
   [[nodiscard]] std::size_t max_closing() const {
@@ -120,6 +123,8 @@
   std::vector<SlotKey> closing_;
   std::unordered_set<std::string> open_call_ids_;
   bool draining_ = false;
+  static constexpr int kClientErrorLinesPerSecond = 20;
+  LogRateLimiter client_error_log_limiter_{kClientErrorLinesPerSecond};
   // How long a client may take to close its side after the dispatcher's side was shut down.
   Duration linger_timeout_ = std::chrono::milliseconds(300);
   Acceptor acceptor_;
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -125,6 +125,7 @@
     const Time started = monotonic_now();
     turn_ends_at_ = started + policy::InputSchedule::kMaxTurn;
     if (EventHandler** handler = handlers_.find(*key)) (*handler)->on_input_turn();
+    if (is_turn_over()) ++interrupted_turns_;
     turn_ends_at_ = Time::max();
     if (on_turn_end_) on_turn_end_();
     input_schedule_.end_turn(monotonic_now() - started);
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -78,6 +78,8 @@
     on_stalled_iteration_ = std::move(callback);
   }
 
+  // Returns the number of input turns that ended although their connections may have had more input.
+  [[nodiscard]] std::uint64_t interrupted_turns() const { return interrupted_turns_; }
   // Returns the time at which this iteration's wait ended.
   [[nodiscard]] Time now() const { return now_; }
   // Returns true if this iteration's wait found no event and no input waits for its turn.
@@ -113,6 +115,7 @@
   policy::InputSchedule input_schedule_;
   // Time::max() outside of turns.
   Time turn_ends_at_ = Time::max();
+  std::uint64_t interrupted_turns_ = 0;
   std::map<TimerId, Task> timers_;
   std::uint64_t next_timer_sequence_ = 1;
   std::vector<Task> deferred_;
