--- a/tests/support/dispatcher_process.cpp
+++ b/tests/support/dispatcher_process.cpp
@@ -135,6 +135,12 @@
   return 0;
 }
 
+bool DispatcherProcess::has_ended() const {
+  siginfo_t ended{};
+  const int result = ::waitid(P_PID, static_cast<id_t>(pid_), &ended, WEXITED | WNOHANG | WNOWAIT);
+  return result != 0 || ended.si_pid != 0;
+}
+
 int DispatcherProcess::wait_for_exit() {
   int status = 0;
   const auto deadline = steady_clock::now() + kWaitLimit;
--- a/tests/support/dispatcher_process.h
+++ b/tests/support/dispatcher_process.h
@@ -56,6 +56,9 @@
   // Returns the anonymous memory of the process, in bytes; 0 once it has ended.
   [[nodiscard]] std::size_t anonymous_memory() const;
 
+  // Returns whether the process has ended. wait_for_exit() then returns its exit code.
+  [[nodiscard]] bool has_ended() const;
+
   // Waits until the process has ended, and returns its exit code, or 128 plus the number of the signal that
   // killed it.
   int wait_for_exit();
--- a/tests/support/flooding_client.cpp
+++ b/tests/support/flooding_client.cpp
@@ -42,7 +42,7 @@
 }
 
 void FloodingClient::run() {
-  while (!stop_requested_) {
+  while (!stop_requested_ && may_connect_) {
     try {
       flood(connect_());
     } catch (const std::exception&) {
--- a/tests/support/flooding_client.h
+++ b/tests/support/flooding_client.h
@@ -25,6 +25,9 @@
   FloodingClient(const FloodingClient&) = delete;
   FloodingClient& operator=(const FloodingClient&) = delete;
 
+  // Opens no further connections.
+  void stop_connecting() { may_connect_ = false; }
+
  private:
   void run();
   void flood(TestConnection connection);
@@ -32,6 +35,7 @@
   Connect connect_;
   MakeBytes make_bytes_;
   ResponseUse use_;
+  std::atomic<bool> may_connect_{true};
   std::atomic<bool> stop_requested_{false};
   std::thread thread_;
 };
