--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -97,42 +97,25 @@
 }
 
 // Returns the response if the request must not run. Otherwise its query's memory and its execution are
-// registered.
+// registered: a client that left may send the same id again while the first request runs, or after it.
 std::optional<Response> Dispatcher::find_refusal(Request& request) {
   Query& query = *request.incoming.query;
   if (!try_hold(query) || requests_.unanswered() >= limits_.max_unanswered_requests) {
     return Response::rejected(overload_retry_after(), ResponseCause::kOverloaded);
   }
   if (!query.execution_id) return std::nullopt;
-  auto refusal = register_execution(*query.execution_id);
-  request.is_registered = !refusal;
-  return refusal;
-}
-
-// A client that left may send the same id again while the first request runs, or after it has run.
-std::optional<Response> Dispatcher::register_execution(policy::ExecutionRegistry::ExecutionId id) {
-  for (const auto expired : executions_.take_expired(loop_.now())) {
-    if (execution_claims_) execution_claims_->release_claim(expired);
-  }
-  const policy::ExecutionAdmission admission = executions_.begin(id);
-  if (admission == policy::ExecutionAdmission::kMayHaveRun) return Response::failed(ResponseCause::kRepeated);
-  if (admission == policy::ExecutionAdmission::kRegistryFull) {
-    return Response::rejected(overload_retry_after(), ResponseCause::kOverloaded);
+  switch (executions_.begin(*query.execution_id, loop_.now())) {
+    case policy::ExecutionAdmission::kAdmitted:
+      request.is_registered = true;
+      return std::nullopt;
+    case policy::ExecutionAdmission::kMayHaveRun:
+      return Response::failed(ResponseCause::kRepeated);
+    case policy::ExecutionAdmission::kUnavailable:
+      break;
   }
-  const ClaimResult claim = execution_claims_ ? execution_claims_->try_claim(id) : ClaimResult::kClaimed;
-  if (claim == ClaimResult::kClaimed) return std::nullopt;
-  executions_.end(id, false, loop_.now());
-  if (claim == ClaimResult::kHeldByOther) return Response::failed(ResponseCause::kRepeated);
   return Response::rejected(overload_retry_after(), ResponseCause::kOverloaded);
 }
 
-void Dispatcher::end_execution(const Request& request) {
-  if (!request.is_registered) return;
-  const auto id = *request.incoming.query->execution_id;
-  executions_.end(id, request.may_have_run(), loop_.now());
-  if (execution_claims_ && !request.may_have_run()) execution_claims_->release_claim(id);
-}
-
 // The response is deferred, since handlers get no response within submit().
 void Dispatcher::respond_without_attempts(RequestKey key, const Response& response) {
   loop_.defer([this, key, response] {
@@ -467,7 +450,8 @@
   auto released = requests_.release_if_done(key);
   if (!released) return;
   loop_.cancel(released->routing_timer);
-  end_execution(*released);
+  if (!released->is_registered) return;
+  executions_.end(*released->incoming.query->execution_id, released->may_have_run(), loop_.now());
   settings_.remove_request(released->incoming.class_index);
 }
 
--- a/src/dispatcher/dispatcher.h
+++ b/src/dispatcher/dispatcher.h
@@ -23,9 +23,9 @@
 #include "dispatcher/request_log.h"
 #include "dispatcher/request_table.h"
 #include "dispatcher/routing_time.h"  // Used by callers that convert settings.
+#include "dispatcher/shared_executions.h"
 #include "log/log.h"
 #include "net/event_loop.h"
-#include "policy/execution_registry.h"
 #include "rookproxy/routing/router.h"
 
 namespace rookproxy {
@@ -50,7 +50,7 @@
 
   // Sets the claims shared with the other processes of this dispatcher; without them there are none. They
   // must outlive the dispatcher.
-  void set_execution_claims(ExecutionClaims& claims) { execution_claims_ = &claims; }
+  void set_execution_claims(ExecutionClaims& claims) { executions_.set_claims(claims); }
 
   // ---- settings
 
@@ -121,8 +121,6 @@
 
   [[nodiscard]] bool try_hold(Query& query) const;
   [[nodiscard]] std::optional<Response> find_refusal(Request& request);
-  [[nodiscard]] std::optional<Response> register_execution(policy::ExecutionRegistry::ExecutionId id);
-  void end_execution(const Request& request);
   void respond_without_attempts(RequestKey key, const Response& response);
   void schedule_deadline(RequestKey key, Time deadline);
   void queue_arrival(RequestKey key, const IncomingRequest& incoming);
@@ -167,9 +165,7 @@
   EngineRegistry engines_{loop_, log_, settings_, limits_};
   AttemptRules attempt_rules_{settings_, engines_};
   RequestLog request_log_;
-  policy::ExecutionRegistry executions_;
-  // Null if no other process may run requests of the same clients.
-  ExecutionClaims* execution_claims_ = nullptr;
+  SharedExecutions executions_;
   // The events since the last call of process_events().
   std::vector<routing::Event> events_;
   // A member so that its memory is reused.
--- a/src/fakes/fake_mysql_session.cpp
+++ b/src/fakes/fake_mysql_session.cpp
@@ -192,11 +192,7 @@
     return Outcome::kContinue;
   }
   if (text.starts_with(kFindSession)) {
-    const auto id = static_cast<std::uint32_t>(*find_number_after(text, kFindSession));
-    const auto port = static_cast<std::uint16_t>(*find_number_after(text, "LIKE '%:"));
-    StatementBehavior rows;
-    rows.row_count = engine_.has_connection(id, port) ? 1 : 0;
-    reply_rows(rows, format);
+    reply_found_session(text);
     return Outcome::kContinue;
   }
   const StatementBehavior behavior = StatementBehavior::parse(text);
@@ -227,6 +223,15 @@
   return Outcome::kContinue;
 }
 
+// Replies with a row if the session that the query looks for exists.
+void FakeMysqlSession::reply_found_session(const std::string& query) {
+  const auto id = static_cast<std::uint32_t>(*find_number_after(query, kFindSession));
+  const auto port = static_cast<std::uint16_t>(*find_number_after(query, "LIKE '%:"));
+  StatementBehavior rows;
+  rows.row_count = engine_.has_connection(id, port) ? 1 : 0;
+  reply_rows(rows, RowFormat::kText);
+}
+
 // Sleeps for the statement's run time. Returns false if KILL QUERY ended the statement.
 bool FakeMysqlSession::sleep_unless_killed(std::chrono::milliseconds run_time) {
   for (auto left = run_time; left > 0ms && !engine_.is_stop_requested(); left -= kSleepStep) {
--- a/src/fakes/fake_mysql_session.h
+++ b/src/fakes/fake_mysql_session.h
@@ -47,6 +47,7 @@
                                                                    mysql::PayloadReader& reader);
   [[nodiscard]] Outcome run_statement(const std::string& text, RowFormat format);
   [[nodiscard]] bool sleep_unless_killed(std::chrono::milliseconds run_time);
+  void reply_found_session(const std::string& query);
   void reply_rows(const StatementBehavior& behavior, RowFormat format);
   void reply(std::string_view payload);
   void reply_column_definition(const std::string& name);
--- a/src/policy/execution_registry.cpp
+++ b/src/policy/execution_registry.cpp
@@ -4,7 +4,7 @@
 
 ExecutionAdmission ExecutionRegistry::begin(ExecutionId id) {
   if (states_.contains(id)) return ExecutionAdmission::kMayHaveRun;
-  if (states_.size() >= kMaxExecutions) return ExecutionAdmission::kRegistryFull;
+  if (states_.size() >= kMaxExecutions) return ExecutionAdmission::kUnavailable;
   states_.emplace(id, State::kOpen);
   return ExecutionAdmission::kAdmitted;
 }
--- a/src/policy/execution_registry.h
+++ b/src/policy/execution_registry.h
@@ -22,8 +22,8 @@
 
 namespace rookproxy::policy {
 
-// Whether a request may run.
-enum class ExecutionAdmission { kAdmitted, kMayHaveRun, kRegistryFull };
+// Whether a request may run. kUnavailable: it has not run, and can be tried again later.
+enum class ExecutionAdmission { kAdmitted, kMayHaveRun, kUnavailable };
 
 // The ids of requests that must not run twice. Used by one thread at a time; the caller provides the time.
 class ExecutionRegistry {
--- a/tests/policy/execution_registry_test.cpp
+++ b/tests/policy/execution_registry_test.cpp
@@ -85,7 +85,7 @@
     registry.end(id, true, now);
   }
   const auto next = ExecutionRegistry::kMaxExecutions + 1;
-  CHECK(registry.begin(next) == ExecutionAdmission::kRegistryFull);
+  CHECK(registry.begin(next) == ExecutionAdmission::kUnavailable);
   CHECK(registry.begin(1) == ExecutionAdmission::kMayHaveRun);
   CHECK(registry.take_expired(now + ExecutionRegistry::kRetention).size() ==
         ExecutionRegistry::kMaxExecutions);
