Fair turns of input cost no CPU on the usual path

Each turn read the clock twice and routed its requests as a batch of its own, and the waiting connections stood in a tree.

The metric is named for what it counts now: svc.input_turns_full.

--- a/src/admin/admin_response.cpp
+++ b/src/admin/admin_response.cpp
@@ -87,7 +87,7 @@
   text.add("in_progress", gauges.requests_in_progress);
   text.add("known_query_engines", gauges.engines_listed);
   text.add("skipped_query_engines", gauges.engines_avoided);
-  text.add("input_turns_interrupted", gauges.interrupted_input_turns);
+  text.add("input_turns_full", gauges.full_input_turns);
   if (metrics.auth.enabled) text.add_auth(metrics.auth);
   for (const auto& [tenant, classes] : metrics.by_tenant) {
     text.add_classes("tenant." + to_metric_name(tenant) + ".", classes);
--- a/src/app/app.cpp
+++ b/src/app/app.cpp
@@ -125,8 +125,8 @@
 
 void App::observe_loop() {
   loop_.on_iteration_end([this] { dispatcher_.process_events(); });
-  // The routing of a client's requests counts as time of its turn.
-  loop_.on_turn_end([this] { dispatcher_.process_events(); });
+  // The routing of many requests of one client counts as time of its turn.
+  loop_.on_full_turn([this] { dispatcher_.process_events(); });
   loop_.on_stalled_iteration(kStalledIterationThreshold, [this](Duration took) {
     log_.write(LogLevel::kWarning, "loop", "event loop iteration stalled",
                {{"ms", milliseconds_field(took)}});
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -171,7 +171,7 @@
   Gauges gauges;
   gauges.requests_in_progress = requests_.unanswered();
   gauges.engines_listed = engines_.listed_count();
-  gauges.interrupted_input_turns = loop_.interrupted_turns();
+  gauges.full_input_turns = loop_.full_turns();
   gauges.engines_avoided = router_.avoided_engines(to_routing_time(loop_.now()));
   return gauges;
 }
--- a/src/dispatcher/metrics.h
+++ b/src/dispatcher/metrics.h
@@ -76,8 +76,8 @@
   std::size_t requests_in_progress = 0;
   std::size_t engines_listed = 0;
   std::size_t engines_avoided = 0;
-  // Counted since the process started: times at which a connection with much input had to wait for others.
-  std::uint64_t interrupted_input_turns = 0;
+  // Counted since the process started: turns of connections that took all of their time.
+  std::uint64_t full_input_turns = 0;
 };
 
 // Counts a response under its class and, unless `tenant` is empty, under its tenant.
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <system_error>
+#include <utility>
 
 #include "net/clock.h"
 
@@ -78,19 +79,17 @@
   }
 }
 
-void EventLoop::report_stall() {
-  if (!on_stalled_iteration_) return;
-  const Duration took = monotonic_now() - now_;
-  if (took >= stall_threshold_) on_stalled_iteration_(took);
+void EventLoop::report_stall(Time now) {
+  if (now - now_ >= stall_threshold_) on_stalled_iteration_(now - now_);
 }
 
 // Returns how long to wait for events: not at all, until the first timer is due, or without limit.
 int EventLoop::wait_milliseconds(bool may_wait) {
-  report_stall();
+  const Time now = monotonic_now();
+  report_stall(now);
   if (!may_wait || !requeued_.empty() || input_schedule_.has_waiting()) return 0;
   if (timers_.empty()) return kWaitForever;
-  const auto remaining =
-      std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first.due - monotonic_now());
+  const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first.due - now);
   return static_cast<int>(std::clamp<std::int64_t>(remaining.count(), 0, kLongestWaitMilliseconds));
 }
 
@@ -120,15 +119,21 @@
 
 // Gives turns until no input waits or the iteration's time for them is used up.
 void EventLoop::run_input_turns() {
+  if (!input_schedule_.has_waiting()) return;
   input_schedule_.begin_iteration();
+  Time started = monotonic_now();
   while (const auto key = input_schedule_.begin_turn()) {
-    const Time started = monotonic_now();
     turn_ends_at_ = started + policy::InputSchedule::kMaxTurn;
     if (EventHandler** handler = handlers_.find(*key)) (*handler)->on_input_turn();
-    if (is_turn_over()) ++interrupted_turns_;
     turn_ends_at_ = Time::max();
-    if (on_turn_end_) on_turn_end_();
-    input_schedule_.end_turn(monotonic_now() - started);
+    Time ended = monotonic_now();
+    if (ended - started >= policy::InputSchedule::kMaxTurn) {
+      ++full_turns_;
+      if (on_full_turn_) on_full_turn_();
+      ended = monotonic_now();
+    }
+    const Duration used = ended - std::exchange(started, ended);
+    input_schedule_.end_turn(used);
   }
 }
 
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -68,8 +68,8 @@
   void defer(Task task) { deferred_.push_back(std::move(task)); }
   // Sets a task that runs at the end of every iteration, after the deferred tasks.
   void on_iteration_end(Task task) { on_iteration_end_ = std::move(task); }
-  // Sets a task that runs at the end of every input turn, whose time counts as part of the turn.
-  void on_turn_end(Task task) { on_turn_end_ = std::move(task); }
+  // Sets a task that runs after each input turn that took all of its time, as part of the turn.
+  void on_full_turn(Task task) { on_full_turn_ = std::move(task); }
   // Sets a callback for iterations whose duration, from the end of one wait to the next wait, is `threshold`
   // or more. It receives the duration, by which timers may be late because of this process's work or a busy
   // CPU.
@@ -78,8 +78,8 @@
     on_stalled_iteration_ = std::move(callback);
   }
 
-  // Returns the number of input turns that ended although their connections may have had more input.
-  [[nodiscard]] std::uint64_t interrupted_turns() const { return interrupted_turns_; }
+  // Returns the number of input turns that took as long as they may, or longer.
+  [[nodiscard]] std::uint64_t full_turns() const { return full_turns_; }
   // Returns the time at which this iteration's wait ended.
   [[nodiscard]] Time now() const { return now_; }
   // Returns true if this iteration's wait found no event and no input waits for its turn.
@@ -103,7 +103,7 @@
 
   bool run_iteration(bool may_wait);
   int wait_milliseconds(bool may_wait);
-  void report_stall();
+  void report_stall(Time now);
   void run_input_turns();
   std::vector<ReadyEvent> wait_for_events(int timeout_milliseconds);
   bool run_due_timers();
@@ -115,12 +115,12 @@
   policy::InputSchedule input_schedule_;
   // Time::max() outside of turns.
   Time turn_ends_at_ = Time::max();
-  std::uint64_t interrupted_turns_ = 0;
+  std::uint64_t full_turns_ = 0;
   std::map<TimerId, Task> timers_;
   std::uint64_t next_timer_sequence_ = 1;
   std::vector<Task> deferred_;
   Task on_iteration_end_;
-  Task on_turn_end_;
+  Task on_full_turn_;
   Duration stall_threshold_ = Duration::max();
   std::function<void(Duration)> on_stalled_iteration_;
   Time now_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -284,7 +284,7 @@
     if (consumed_now == 0) break;
     consumed += consumed_now;
     // read_available() continues in the next turn.
-    if (loop_.is_turn_over()) break;
+    if (consumed < input_.size() && loop_.is_turn_over()) break;
     if (secure_ && !was_secure) {
       // The handler installed a channel; the remaining bytes belong to it.
       const std::string remaining = std::exchange(input_, "").substr(consumed);
@@ -315,10 +315,12 @@
 }
 
 void Stream::read_available() {
-  if (!input_.empty() && !read_paused_) deliver_input();
+  const bool had_input = !input_.empty() && !read_paused_;
+  if (had_input) deliver_input();
   std::size_t bytes_read = 0;
   while (socket_ && !read_paused_ && !failed_) {
-    if (bytes_read >= kReadBytesPerIteration || loop_.is_turn_over()) return loop_.requeue(key_, EPOLLIN);
+    const bool has_used_turn = (had_input || bytes_read > 0) && loop_.is_turn_over();
+    if (has_used_turn || bytes_read >= kReadBytesPerIteration) return loop_.requeue(key_, EPOLLIN);
     if (input_.size() >= input_limit_) return fail("message larger than the input buffer");
     char chunk[kReadChunkSize];
     const std::size_t capacity = std::min(sizeof chunk, input_limit_ - input_.size());
--- a/src/policy/input_schedule.h
+++ b/src/policy/input_schedule.h
@@ -18,9 +18,8 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <unordered_map>
-#include <utility>
+#include <vector>
 
 #include "base/time.h"
 
@@ -52,7 +51,7 @@
   [[nodiscard]] bool has_waiting() const { return !waiting_.empty(); }
 
  private:
-  // Orders the waiting connections: the lowest tag first, among equal ones the one that has waited longest.
+  // Orders connections: the lowest tag first, among equal ones the one that has waited longest.
   struct Position {
     Duration tag{};
     std::uint64_t arrival = 0;
@@ -65,8 +64,12 @@
     std::optional<Position> position;
   };
 
+  void insert(const Position& position);
+  void erase(const Position& position);
+
   std::unordered_map<ConnectionId, Connection> connections_;
-  std::set<Position> waiting_;
+  // The positions of the waiting connections, the next one last.
+  std::vector<Position> waiting_;
   // The connection that is being read; 0 if there is none.
   ConnectionId current_ = 0;
   // The tag of the connection that was read last.
