Fix: the end of a process beside floods took longer than the time until SIGKILL

Callers saw no answer to requests on connections that were open at the end of a process, beside eight clients that send pings at full speed, where the process is slow (a build with sanitizers).

Cause: before it closes a connection the process reads once more what has arrived, up to 64 kB for each: one pass over eight flooding MySQL clients took over a second. That reading has the time of a turn now, as all reading has.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -113,6 +113,12 @@
   return ready;
 }
 
+EventLoop::TurnLimit::TurnLimit(EventLoop& loop) : loop_(loop), previous_end_(loop.turn_ends_at_) {
+  if (previous_end_ == Time::max()) loop_.turn_ends_at_ = monotonic_now() + policy::InputSchedule::kMaxTurn;
+}
+
+EventLoop::TurnLimit::~TurnLimit() { loop_.turn_ends_at_ = previous_end_; }
+
 bool EventLoop::is_turn_over() const {
   return turn_ends_at_ != Time::max() && monotonic_now() >= turn_ends_at_;
 }
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -43,6 +43,19 @@
  public:
   using Task = std::function<void()>;
 
+  // Limits reading to the time of an input turn, until destruction. Has no effect within a turn.
+  class TurnLimit {
+   public:
+    explicit TurnLimit(EventLoop& loop);
+    ~TurnLimit();
+    TurnLimit(const TurnLimit&) = delete;
+    TurnLimit& operator=(const TurnLimit&) = delete;
+
+   private:
+    EventLoop& loop_;
+    Time previous_end_;
+  };
+
   // Throws std::system_error if the epoll instance can't be created.
   EventLoop();
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -93,6 +93,11 @@
 }
 
 void Stream::read_now() {
+  const EventLoop::TurnLimit limit(loop_);
+  on_input_turn();
+}
+
+void Stream::on_input_turn() {
   if (socket_ && !connecting_) read_available();
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -93,8 +93,8 @@
   // on_closed(); no other callback is called before. Later writes are discarded.
   void close_gracefully(Duration timeout);
 
-  // Reads available bytes immediately instead of at the next event. Used to check for input before a stream
-  // is closed as idle.
+  // Reads available bytes immediately instead of at the next event, for no longer than a turn. Used to check
+  // for input before a stream is closed as idle.
   void read_now();
   // Pauses or resumes reading. While reading is paused, the peer's data stays in the kernel's buffer.
   void set_read_paused(bool paused);
@@ -138,7 +138,7 @@
   };
 
   void on_ready(std::uint32_t events) override;
-  void on_input_turn() override { read_now(); }
+  void on_input_turn() override;
   bool finish_connecting(std::uint32_t events);
   void read_available();
   void handle_received_bytes(std::string_view bytes);
--- a/tests/net/stream_test.cpp
+++ b/tests/net/stream_test.cpp
@@ -7,6 +7,7 @@
 
 #include "fakes/sockets.h"
 #include "fakes/test_connection.h"
+#include "net/clock.h"
 #include "net/event_loop.h"
 #include "net/file_descriptor.h"
 #include "net/sockets.h"
@@ -30,10 +31,40 @@
   std::string close_reason;
 };
 
+// Consumes one byte a call, each of which takes some time.
+struct SlowHandler final : StreamHandler {
+  std::size_t on_bytes(std::string_view) override {
+    const Time end = monotonic_now() + kTimePerByte;
+    while (monotonic_now() < end) continue;
+    ++consumed;
+    return 1;
+  }
+  void on_closed(std::string_view) override {}
+
+  static constexpr Duration kTimePerByte = 100us;
+  std::size_t consumed = 0;
+};
+
 constexpr std::size_t kInputLimit = 1024;
 
 }  // namespace
 
+TEST_CASE("stream: reading before a close takes no longer than a turn, and the rest is read later") {
+  // Guards against a process whose last pass over flooding connections takes longer than it has.
+  constexpr std::size_t kBytes = 500;
+  EventLoop loop;
+  FileDescriptor listener = test::listen_on_free_port();
+  test::TestConnection peer = test::TestConnection::connect(local_port(listener));
+  REQUIRE(test::wait_until_readable(listener, test::kWaitLimit));
+  SlowHandler handler;
+  Stream stream(loop, accept_connection(listener), handler, false, kInputLimit);
+  peer.send(std::string(kBytes, 'x'));
+  while (handler.consumed == 0) stream.read_now();
+  CHECK(handler.consumed <=
+        static_cast<std::size_t>(policy::InputSchedule::kMaxTurn / SlowHandler::kTimePerByte));
+  CHECK(test::run_until(loop, [&] { return handler.consumed == kBytes; }));
+}
+
 TEST_CASE("stream: a write can be cancelled only before it has started") {
   // Guards against reporting a request as not sent although the engine may have received it.
   EventLoop loop;
